Rename to quincespar, with layers' packages, picocli commands and one settings parser

The adapter is now the command 'adapter'. SettingsParser moved beside the record it fills, and takes pairs, so that the real front end's configuration goes through the same code.

--- a/src/main/java/mothlead/Brain.java
+++ b/src/main/java/quincespar/decision/Brain.java
@@ -1,4 +1,4 @@
-package mothlead;
+package quincespar.decision;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -6,7 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import mothlead.State.*;
+import quincespar.decision.State.*;
 
 /**
  * Every decision of one router, by D-Gcμ. The interface (settings, events, actions) is in Gateway.java.
--- a/src/main/java/mothlead/Gateway.java
+++ b/src/main/java/quincespar/decision/Gateway.java
@@ -1,4 +1,4 @@
-package mothlead;
+package quincespar.decision;
 
 import java.util.List;
 
--- a/src/main/java/mothlead/wire/SettingsParser.java
+++ b/src/main/java/quincespar/decision/SettingsParser.java
@@ -1,30 +1,38 @@
-package mothlead.wire;
+package quincespar.decision;
 
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import mothlead.Gateway;
 
 /**
- * Reads the settings text of the wire. Unknown keys are skipped; an absent key takes the default that stands
+ * Maps settings, as pairs of path and value, to the module's record. The simulator's wire brings the pairs as
+ * text; a real front end flattens its configuration to the same pairs. Unknown keys are skipped; an absent key takes the default that stands
  * beside its name here: the reading that allows least, or the one that a site without the feature has.
  * Required are the number of classes and, of each class, its aim and its deadline.
  */
-final class SettingsParser {
-    private final Map<String, String> pairs = new HashMap<>();
+public final class SettingsParser {
+    private final Map<String, String> pairs;
 
-    private SettingsParser(String text) {
+    private SettingsParser(Map<String, String> pairs) {
+        this.pairs = pairs;
+    }
+
+    /** The settings of the wire's text, a pair on each line. */
+    public static Gateway.Settings parse(String text) {
+        Map<String, String> pairs = new HashMap<>();
         for (String line : text.split("\n")) {
             int eq = line.indexOf('=');
             if (eq > 0) {
                 pairs.put(line.substring(0, eq).strip(), line.substring(eq + 1).strip());
             }
         }
+        return parse(pairs);
     }
 
-    static Gateway.Settings parse(String text) {
-        return new SettingsParser(text).settings();
+    /** The settings of pairs; what can't be used is told in an {@link IllegalArgumentException}. */
+    public static Gateway.Settings parse(Map<String, String> pairs) {
+        return new SettingsParser(pairs).settings();
     }
 
     private double number(String key, double absent) {
@@ -36,13 +44,13 @@
         try {
             return Double.parseDouble(v);
         } catch (NumberFormatException e) {
-            throw new WireException("setting " + key + ": not a number: " + v);
+            throw new IllegalArgumentException("setting " + key + ": not a number: " + v);
         }
     }
 
     private double required(String key) {
         if (!pairs.containsKey(key) || pairs.get(key).isEmpty()) {
-            throw new WireException("setting " + key + " is missing");
+            throw new IllegalArgumentException("setting " + key + " is missing");
         }
         return toNumber(key, pairs.get(key));
     }
--- a/src/main/java/mothlead/State.java
+++ b/src/main/java/quincespar/decision/State.java
@@ -1,4 +1,4 @@
-package mothlead;
+package quincespar.decision;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -9,13 +9,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeSet;
-import mothlead.Gateway.ClassSpec;
-import mothlead.Gateway.Engine;
-import mothlead.Gateway.EngineState;
-import mothlead.Gateway.Outcome;
-import mothlead.Gateway.Request;
-import mothlead.Gateway.Settings;
-import mothlead.Gateway.Told;
+import quincespar.decision.Gateway.ClassSpec;
+import quincespar.decision.Gateway.Engine;
+import quincespar.decision.Gateway.EngineState;
+import quincespar.decision.Gateway.Outcome;
+import quincespar.decision.Gateway.Request;
+import quincespar.decision.Gateway.Settings;
+import quincespar.decision.Gateway.Told;
 
 /**
  * What the decision module remembers: requests, attempts, engines, and plain statistics over them. Nothing here
--- /dev/null
+++ b/src/main/java/quincespar/program/Main.java
@@ -0,0 +1,71 @@
+package quincespar.program;
+
+import java.io.IOException;
+import java.util.concurrent.Callable;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.IVersionProvider;
+import quincespar.simulator.WireException;
+import quincespar.simulator.WireHost;
+
+/** The command line. */
+@Command(name = "quincespar", description = "A front end before shared query engines.",
+        mixinStandardHelpOptions = true, versionProvider = Main.Version.class)
+public final class Main implements Callable<Integer> {
+    private static final int USAGE = 2;
+
+    @CommandLine.Spec
+    private CommandLine.Model.CommandSpec spec;
+
+    private Main() { }
+
+    /** Runs one command: 0 done, 1 failed with a line on standard error, 2 wrong arguments. */
+    public static void main(String[] args) {
+        System.exit(run(args));
+    }
+
+    /** As {@link #main}, with the exit code returned. */
+    public static int run(String... args) {
+        CommandLine line = new CommandLine(new Main());
+        line.setExecutionExceptionHandler((e, command, parsed) -> {
+            System.err.println("quincespar: " + e.getMessage());
+            return 1;
+        });
+        line.setParameterExceptionHandler((e, given) -> {
+            System.err.println("quincespar: " + e.getMessage() + "; --help lists the commands");
+            return USAGE;
+        });
+        return line.execute(args);
+    }
+
+    @Override
+    public Integer call() {
+        throw new CommandLine.ParameterException(spec.commandLine(), "a command is needed");
+    }
+
+    @Command(name = "adapter", description = "Host the decision module on the simulator's wire, on standard input"
+            + " and output.")
+    int adapter() throws IOException {
+        try {
+            new WireHost().serve(System.in, System.out);
+            return 0;
+        } catch (WireException e) {
+            throw new IOException(e.getMessage(), e);
+        }
+    }
+
+    @Command(name = "version", description = "Print the version.")
+    int version() {
+        System.out.println(new Version().getVersion()[0]);
+        return 0;
+    }
+
+    /** Reads the version from the jar. */
+    static final class Version implements IVersionProvider {
+        @Override
+        public String[] getVersion() {
+            String v = Main.class.getPackage().getImplementationVersion();
+            return new String[] {"quincespar " + (v == null ? "(unpackaged)" : v)};
+        }
+    }
+}
--- a/src/main/java/mothlead/wire/Reader.java
+++ b/src/main/java/quincespar/simulator/Reader.java
@@ -1,4 +1,4 @@
-package mothlead.wire;
+package quincespar.simulator;
 
 import java.nio.ByteBuffer;
 import java.nio.ByteOrder;
--- a/src/main/java/mothlead/wire/WireException.java
+++ b/src/main/java/quincespar/simulator/WireException.java
@@ -1,4 +1,4 @@
-package mothlead.wire;
+package quincespar.simulator;
 
 /** Input that can't be understood; the message says what and where in plain words. */
 public final class WireException extends RuntimeException {
--- a/src/main/java/mothlead/wire/WireHost.java
+++ b/src/main/java/quincespar/simulator/WireHost.java
@@ -1,4 +1,4 @@
-package mothlead.wire;
+package quincespar.simulator;
 
 import java.io.IOException;
 import java.io.InputStream;
@@ -8,8 +8,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import mothlead.Brain;
-import mothlead.Gateway;
+import quincespar.decision.Brain;
+import quincespar.decision.Gateway;
+import quincespar.decision.SettingsParser;
 
 /**
  * Hosts many instances of the decision module on the simulator's wire: turns batches into events, hands each
--- a/src/main/java/mothlead/wire/Writer.java
+++ b/src/main/java/quincespar/simulator/Writer.java
@@ -1,8 +1,8 @@
-package mothlead.wire;
+package quincespar.simulator;
 
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
-import mothlead.Gateway;
+import quincespar.decision.Gateway;
 
 /** Builds one reply: a length and the records of the actions, packed little-endian. */
 final class Writer {
--- a/src/test/java/mothlead/ManyRoutersTest.java
+++ b/src/test/java/quincespar/decision/ManyRoutersTest.java
@@ -1,4 +1,4 @@
-package mothlead;
+package quincespar.decision;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -7,18 +7,18 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import mothlead.Gateway.ClassSpec;
-import mothlead.Gateway.Effect;
-import mothlead.Gateway.Engine;
-import mothlead.Gateway.EngineState;
-import mothlead.Gateway.Ended;
-import mothlead.Gateway.ListKind;
-import mothlead.Gateway.Listed;
-import mothlead.Gateway.Outcome;
-import mothlead.Gateway.Request;
-import mothlead.Gateway.Scope;
-import mothlead.Gateway.Send;
-import mothlead.Gateway.Timer;
+import quincespar.decision.Gateway.ClassSpec;
+import quincespar.decision.Gateway.Effect;
+import quincespar.decision.Gateway.Engine;
+import quincespar.decision.Gateway.EngineState;
+import quincespar.decision.Gateway.Ended;
+import quincespar.decision.Gateway.ListKind;
+import quincespar.decision.Gateway.Listed;
+import quincespar.decision.Gateway.Outcome;
+import quincespar.decision.Gateway.Request;
+import quincespar.decision.Gateway.Scope;
+import quincespar.decision.Gateway.Send;
+import quincespar.decision.Gateway.Timer;
 import org.junit.jupiter.api.Test;
 
 /** What holds where a router's part of an engine is a fraction of a thread. */
--- a/src/test/java/mothlead/MechanismTest.java
+++ b/src/test/java/quincespar/decision/MechanismTest.java
@@ -1,4 +1,4 @@
-package mothlead;
+package quincespar.decision;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -6,17 +6,17 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import mothlead.Gateway.Action;
-import mothlead.Gateway.Cancel;
-import mothlead.Gateway.Event;
-import mothlead.Gateway.ListKind;
-import mothlead.Gateway.Listed;
-import mothlead.Gateway.Note;
-import mothlead.Gateway.NoteKind;
-import mothlead.Gateway.Outcome;
-import mothlead.Gateway.Send;
-import mothlead.Gateway.Timer;
-import mothlead.Gateway.Watch;
+import quincespar.decision.Gateway.Action;
+import quincespar.decision.Gateway.Cancel;
+import quincespar.decision.Gateway.Event;
+import quincespar.decision.Gateway.ListKind;
+import quincespar.decision.Gateway.Listed;
+import quincespar.decision.Gateway.Note;
+import quincespar.decision.Gateway.NoteKind;
+import quincespar.decision.Gateway.Outcome;
+import quincespar.decision.Gateway.Send;
+import quincespar.decision.Gateway.Timer;
+import quincespar.decision.Gateway.Watch;
 import org.junit.jupiter.api.Test;
 
 /** The index, the release order, the learned rates, the thread bound, health. */
--- a/src/test/java/mothlead/Rig.java
+++ b/src/test/java/quincespar/decision/Rig.java
@@ -1,26 +1,26 @@
-package mothlead;
+package quincespar.decision;
 
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
-import mothlead.Gateway.Action;
-import mothlead.Gateway.ClassSpec;
-import mothlead.Gateway.Effect;
-import mothlead.Gateway.Ended;
-import mothlead.Gateway.Engine;
-import mothlead.Gateway.EngineState;
-import mothlead.Gateway.Event;
-import mothlead.Gateway.Fleet;
-import mothlead.Gateway.Limits;
-import mothlead.Gateway.ListKind;
-import mothlead.Gateway.Listed;
-import mothlead.Gateway.Outcome;
-import mothlead.Gateway.Request;
-import mothlead.Gateway.Rules;
-import mothlead.Gateway.Scope;
-import mothlead.Gateway.Send;
-import mothlead.Gateway.Settings;
-import mothlead.Gateway.Shortage;
+import quincespar.decision.Gateway.Action;
+import quincespar.decision.Gateway.ClassSpec;
+import quincespar.decision.Gateway.Effect;
+import quincespar.decision.Gateway.Ended;
+import quincespar.decision.Gateway.Engine;
+import quincespar.decision.Gateway.EngineState;
+import quincespar.decision.Gateway.Event;
+import quincespar.decision.Gateway.Fleet;
+import quincespar.decision.Gateway.Limits;
+import quincespar.decision.Gateway.ListKind;
+import quincespar.decision.Gateway.Listed;
+import quincespar.decision.Gateway.Outcome;
+import quincespar.decision.Gateway.Request;
+import quincespar.decision.Gateway.Rules;
+import quincespar.decision.Gateway.Scope;
+import quincespar.decision.Gateway.Send;
+import quincespar.decision.Gateway.Settings;
+import quincespar.decision.Gateway.Shortage;
 
 /** One module with settings that a test can change, a clock that it moves, and short ways to say events. */
 final class Rig {
--- a/src/test/java/mothlead/RulesTest.java
+++ b/src/test/java/quincespar/decision/RulesTest.java
@@ -1,4 +1,4 @@
-package mothlead;
+package quincespar.decision;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -7,22 +7,22 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import mothlead.Gateway.Action;
-import mothlead.Gateway.Cancel;
-import mothlead.Gateway.Effect;
-import mothlead.Gateway.EngineState;
-import mothlead.Gateway.Fail;
-import mothlead.Gateway.Left;
-import mothlead.Gateway.Limits;
-import mothlead.Gateway.ListKind;
-import mothlead.Gateway.Listed;
-import mothlead.Gateway.Outcome;
-import mothlead.Gateway.Refuse;
-import mothlead.Gateway.Request;
-import mothlead.Gateway.Rules;
-import mothlead.Gateway.Scope;
-import mothlead.Gateway.Send;
-import mothlead.Gateway.Timer;
+import quincespar.decision.Gateway.Action;
+import quincespar.decision.Gateway.Cancel;
+import quincespar.decision.Gateway.Effect;
+import quincespar.decision.Gateway.EngineState;
+import quincespar.decision.Gateway.Fail;
+import quincespar.decision.Gateway.Left;
+import quincespar.decision.Gateway.Limits;
+import quincespar.decision.Gateway.ListKind;
+import quincespar.decision.Gateway.Listed;
+import quincespar.decision.Gateway.Outcome;
+import quincespar.decision.Gateway.Refuse;
+import quincespar.decision.Gateway.Request;
+import quincespar.decision.Gateway.Rules;
+import quincespar.decision.Gateway.Scope;
+import quincespar.decision.Gateway.Send;
+import quincespar.decision.Gateway.Timer;
 import org.junit.jupiter.api.Test;
 
 /** The seven rules, each for one router alone. */
--- a/src/test/java/mothlead/WordsTest.java
+++ b/src/test/java/quincespar/decision/WordsTest.java
@@ -1,4 +1,4 @@
-package mothlead;
+package quincespar.decision;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
@@ -6,21 +6,21 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import mothlead.Gateway.Action;
-import mothlead.Gateway.ClassSpec;
-import mothlead.Gateway.Effect;
-import mothlead.Gateway.Engine;
-import mothlead.Gateway.EngineState;
-import mothlead.Gateway.Limits;
-import mothlead.Gateway.ListKind;
-import mothlead.Gateway.Listed;
-import mothlead.Gateway.Outcome;
-import mothlead.Gateway.Request;
-import mothlead.Gateway.Scope;
-import mothlead.Gateway.Send;
-import mothlead.Gateway.Tell;
-import mothlead.Gateway.Timer;
-import mothlead.Gateway.Told;
+import quincespar.decision.Gateway.Action;
+import quincespar.decision.Gateway.ClassSpec;
+import quincespar.decision.Gateway.Effect;
+import quincespar.decision.Gateway.Engine;
+import quincespar.decision.Gateway.EngineState;
+import quincespar.decision.Gateway.Limits;
+import quincespar.decision.Gateway.ListKind;
+import quincespar.decision.Gateway.Listed;
+import quincespar.decision.Gateway.Outcome;
+import quincespar.decision.Gateway.Request;
+import quincespar.decision.Gateway.Scope;
+import quincespar.decision.Gateway.Send;
+import quincespar.decision.Gateway.Tell;
+import quincespar.decision.Gateway.Timer;
+import quincespar.decision.Gateway.Told;
 import org.junit.jupiter.api.Test;
 
 /** What routers tell each other, and what a stalled router makes of what it finds. */
--- a/src/test/java/mothlead/wire/WireTest.java
+++ b/src/test/java/quincespar/simulator/WireTest.java
@@ -1,4 +1,4 @@
-package mothlead.wire;
+package quincespar.simulator;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -14,7 +14,7 @@
 import java.util.ArrayList;
 import java.util.HexFormat;
 import java.util.List;
-import mothlead.Gateway;
+import quincespar.decision.Gateway;
 import org.junit.jupiter.api.Test;
 
 /** The wire: the facts of worked frames, round trips, and input that is cut or wrong. */
@@ -159,7 +159,7 @@
 
     @Test
     void wrongArgumentsGetExitCodeTwo() {
-        assertEquals(2, Main.run(new String[] {"serve"}));
-        assertEquals(2, Main.run(new String[0]));
+        assertEquals(2, quincespar.program.Main.run("adapt"));
+        assertEquals(2, quincespar.program.Main.run());
     }
 }
