--- /dev/null
+++ b/src/main/java/quincespar/program/ChangeLog.java
@@ -0,0 +1,76 @@
+package quincespar.program;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.function.Consumer;
+import quincespar.protocol.ChangeLogCodec;
+import quincespar.protocol.MalformedException;
+import quincespar.protocol.http.ResponseDecoder;
+import quincespar.routing.Effect;
+import quincespar.routing.Input;
+import quincespar.transport.Connection;
+
+/** Asks the change log over HTTP/1.1, on one connection for as long as that lasts. Used by one thread. */
+final class ChangeLog {
+    private static final int OUTBOX = 64 * 1024;
+    private static final int OK = 200;
+
+    private final InetSocketAddress address;
+    private final Consumer<Input> post;
+    private Exchange current;
+
+    ChangeLog(InetSocketAddress address, Consumer<Input> post) {
+        this.address = address;
+        this.post = post;
+    }
+
+    void poll(Effect.Poll e) {
+        if (current == null || !current.ask(e)) {
+            current = new Exchange();
+            current.ask(e);
+        }
+    }
+
+    void drop() {
+        if (current != null) {
+            current.connection.close("given up");
+            current = null;
+        }
+    }
+
+    private final class Exchange implements Connection.Handler {
+        private final ResponseDecoder decoder = new ResponseDecoder();
+        private final Connection connection = Connection.dial(address, "changes", OUTBOX, this);
+        private volatile long serial;
+
+        boolean ask(Effect.Poll e) {
+            serial = e.serial();
+            String request = "GET /changes?since=" + e.since() + "&timeout=" + e.waitMs() + " HTTP/1.1\r\nHost: "
+                    + address.getHostString() + ":" + address.getPort() + "\r\nAccept: application/json\r\n\r\n";
+            return connection.send(request.getBytes(StandardCharsets.US_ASCII));
+        }
+
+        @Override
+        public void received(byte[] bytes, int count) {
+            try {
+                decoder.feed(bytes, count, this::answered);
+            } catch (MalformedException e) { // asked again after a pause; the list that we have is kept
+                post.accept(new Input.ChangesFailed(serial, e.getMessage()));
+                connection.close("malformed");
+            }
+        }
+
+        private void answered(ResponseDecoder.Response r) {
+            if (r.status() != OK) {
+                throw new MalformedException("status " + r.status());
+            }
+            ChangeLogCodec.Changes c = ChangeLogCodec.read(r.body());
+            post.accept(new Input.Changes(serial, c.seq(), c.events()));
+        }
+
+        @Override
+        public void closed(String cause) {
+            post.accept(new Input.ChangesFailed(serial, cause));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/quincespar/program/Configuration.java
@@ -0,0 +1,56 @@
+package quincespar.program;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.InvalidPathException;
+import java.nio.file.Path;
+import java.util.Map;
+import quincespar.protocol.ChangeLogCodec;
+import quincespar.protocol.Json;
+import quincespar.protocol.MalformedException;
+import quincespar.routing.Site;
+
+/** What the front end is told at its start. */
+record Configuration(String name, InetSocketAddress listen, InetSocketAddress changeLog, long seed, int sockets,
+        Site site, ChangeLogCodec.Changes known) {
+
+    private static final int SOCKETS = 1024;
+
+    /** Reads the file that {@code GW_CONFIG} names; throws {@link IllegalArgumentException} in one plain line. */
+    static Configuration read(Map<String, String> environment) {
+        String file = environment.get("GW_CONFIG");
+        if (file == null || file.isEmpty()) {
+            throw new IllegalArgumentException("GW_CONFIG is not set");
+        }
+        try {
+            return read(Json.object(Json.read(Files.readAllBytes(Path.of(file))), "the configuration"), environment);
+        } catch (IOException | InvalidPathException e) {
+            throw new IllegalArgumentException("can't read " + file + ": " + e.getMessage(), e);
+        } catch (MalformedException | IllegalArgumentException e) {
+            throw new IllegalArgumentException("configuration " + file + ": " + e.getMessage(), e);
+        }
+    }
+
+    private static Configuration read(Map<String, Object> all, Map<String, String> environment) {
+        Map<String, Object> limits = all.get("limits") == null ? Map.of() : Json.object(all.get("limits"), "limits");
+        String listen = environment.getOrDefault("GW_LISTEN", String.valueOf(all.get("listen")));
+        return new Configuration(environment.getOrDefault("GW_NAME", String.valueOf(all.get("name"))),
+                address(listen), address(Json.text(all.get("changelog"), "changelog")),
+                Long.parseUnsignedLong(Json.text(all.get("seed"), "seed"), 16),
+                (int) (limits.get("sockets") == null ? SOCKETS : Json.number(limits.get("sockets"), "sockets")),
+                Site.of(Json.pairs(Json.object(all.get("settings"), "settings"))),
+                ChangeLogCodec.read(all.get("known")));
+    }
+
+    /** An address with numbers only: names are not looked up. */
+    static InetSocketAddress address(String hostPort) {
+        int colon = hostPort.lastIndexOf(':');
+        try {
+            return new InetSocketAddress(hostPort.substring(0, Math.max(0, colon)),
+                    Integer.parseInt(hostPort.substring(colon + 1)));
+        } catch (IllegalArgumentException e) {
+            throw new IllegalArgumentException("no address: '" + hostPort + "'", e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/quincespar/program/EngineLinks.java
@@ -0,0 +1,177 @@
+package quincespar.program;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
+import quincespar.decision.Gateway.NoteKind;
+import quincespar.protocol.MalformedException;
+import quincespar.protocol.resp.EngineCodec;
+import quincespar.protocol.resp.RespDecoder;
+import quincespar.routing.Effect;
+import quincespar.routing.EngineNews;
+import quincespar.routing.Input;
+import quincespar.transport.Connection;
+import quincespar.transport.Passage;
+
+/** The connections to engines, which speak RESP. */
+final class EngineLinks {
+    private static final int OUTBOX = 4 << 20;
+    private static final int MOST_PAGES = 4096;
+    /** What the settings call a report's value, and what engines may call it. */
+    private static final Map<String, String> SHORT = Map.of("outstanding", "inflight", "backlog", "queue",
+            "utilization", "util", "recent_ms", "latency_ms", "throughput", "qps", "errors_per_s", "eps");
+
+    private final Map<Long, Connection> connections = new ConcurrentHashMap<>();
+    private final List<String> reportFields;
+    private final Consumer<Input> post;
+
+    EngineLinks(List<String> reportFields, Consumer<Input> post) {
+        this.reportFields = reportFields;
+        this.post = post;
+    }
+
+    void open(Effect.OpenLink e) {
+        connections.put(e.link(), Connection.dial(Configuration.address(e.address()), "engine-" + e.link(), OUTBOX,
+                new Receiver(e.link())));
+    }
+
+    void close(Effect.CloseLink e) {
+        Connection c = connections.remove(e.link());
+        if (c != null) {
+            c.close(e.why());
+        }
+    }
+
+    void send(Effect.Send e) {
+        send(e.link(), EngineCodec.serve(e.txn(), e.queue(), e.budgetMs(), e.statement()), e.passage(), null);
+    }
+
+    void cancel(Effect.Cancel e) {
+        send(e.link(), EngineCodec.cancel(e.txn()), null, () -> post.accept(new Input.CancelWritten(e.key())));
+    }
+
+    void readPage(Effect.ReadPage e) {
+        send(e.link(), EngineCodec.read(e.txn(), e.page()), null, null);
+    }
+
+    void release(Effect.Release e) {
+        send(e.link(), EngineCodec.release(e.txn()), null, null);
+    }
+
+    void probe(Effect.Probe e) {
+        send(e.link(), EngineCodec.gauges(e.tag()), null, null);
+    }
+
+    int size() {
+        return connections.size();
+    }
+
+    private void send(long link, byte[] bytes, Passage passage, Runnable written) {
+        Connection c = connections.get(link);
+        if (c != null && !c.send(bytes, passage, written)) {
+            c.close("the engine does not read"); // or it is over, and then its end is on its way
+        }
+    }
+
+    private final class Receiver implements Connection.Handler {
+        private final long link;
+        private final RespDecoder decoder = new RespDecoder();
+
+        Receiver(long link) {
+            this.link = link;
+        }
+
+        @Override
+        public void opened() {
+            post.accept(new Input.LinkUp(link));
+        }
+
+        @Override
+        public void received(byte[] bytes, int count) {
+            try {
+                decoder.feed(bytes, count, items -> {
+                    EngineNews news = news(EngineCodec.answer(items));
+                    if (news != null) {
+                        post.accept(new Input.Said(link, news));
+                    }
+                });
+            } catch (MalformedException e) {
+                Connection c = connections.get(link);
+                if (c != null) {
+                    System.err.println("engine link " + link + ": malformed: " + e.getMessage());
+                    c.close("malformed: " + e.getMessage());
+                }
+            }
+        }
+
+        @Override
+        public void closed(String cause) {
+            connections.remove(link);
+            post.accept(new Input.LinkDown(link, cause));
+        }
+    }
+
+    private EngineNews news(EngineCodec.Answer a) {
+        return switch (a.word()) {
+            case "DONE" -> {
+                int pages = a.number("count");
+                if (pages < 1 || pages > MOST_PAGES) {
+                    throw new MalformedException("a result of " + pages + " pages");
+                }
+                yield new EngineNews.Done(a.id(), pages, a.body(), load(a));
+            }
+            case "MORE" -> new EngineNews.Page(a.id(), a.number("pos"), a.body());
+            case "WAIT" -> new EngineNews.Full(a.id(), load(a));
+            case "BROKE" -> new EngineNews.Broke(a.id(), load(a));
+            case "PAST" -> new EngineNews.Past(a.id(), load(a));
+            case "FIT", "UNFIT" -> new EngineNews.Health(a.id(), a.word().equals("FIT"), load(a));
+            case "TELL" -> note(a);
+            default -> throw new MalformedException("no answer '" + a.word() + "'");
+        };
+    }
+
+    private static EngineNews note(EngineCodec.Answer a) {
+        NoteKind kind = switch (a.fields().getOrDefault("detail", "")) {
+            case "share" -> NoteKind.PROGRESS;
+            case "short" -> NoteKind.SPILL;
+            case "held" -> NoteKind.WAIT;
+            default -> null;
+        };
+        return kind == null ? null : new EngineNews.Note(a.id(), kind, number(a.fields().get("reading")));
+    }
+
+    /** The load report in the settings' order; none where a field is missing, as a wrong place would mislead. */
+    private List<Double> load(EngineCodec.Answer a) {
+        String use = a.fields().get("use");
+        if (use == null || use.isEmpty()) {
+            return List.of();
+        }
+        Map<String, String> told = new java.util.HashMap<>();
+        for (String pair : use.split(";")) {
+            int colon = pair.indexOf(':');
+            if (colon <= 0) {
+                throw new MalformedException("no report: '" + use + "'");
+            }
+            told.put(pair.substring(0, colon), pair.substring(colon + 1));
+        }
+        List<Double> out = new ArrayList<>();
+        for (String field : reportFields) {
+            String v = told.getOrDefault(field, told.get(SHORT.getOrDefault(field, field)));
+            if (v == null) {
+                return List.of();
+            }
+            out.add(number(v));
+        }
+        return out;
+    }
+
+    private static double number(String v) {
+        try {
+            return Double.parseDouble(v == null ? "" : v);
+        } catch (NumberFormatException e) {
+            throw new MalformedException("no number: '" + v + "'");
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/quincespar/program/FrontEnd.java
@@ -0,0 +1,150 @@
+package quincespar.program;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import quincespar.decision.Brain;
+import quincespar.program.Lifecycle.Phase;
+import quincespar.routing.Effect;
+import quincespar.routing.Front;
+import quincespar.routing.Input;
+import quincespar.routing.Reducer;
+import quincespar.transport.Listener;
+
+/** The running front end: wires the layers, and runs the one thread that feeds the reducer. */
+final class FrontEnd {
+    /** After word to stop, connections come for up to 0.4 s and requests on open ones for 0.2 s more. */
+    private static final double LEAVING_MS = 800;
+    private static final double FLUSH_MS = 300;
+    /** Descriptors: a third is the clients' by the protocol; the rest covers theirs that linger, and ours. */
+    private static final double CLIENT_SHARE = 0.45;
+
+    private final Lifecycle lifecycle = new Lifecycle();
+    private final Counters counters = new Counters();
+    private final Clock clock = new Clock();
+    private final BlockingQueue<Input> inputs = new LinkedBlockingQueue<>();
+    private final Timers timers = new Timers(inputs::add);
+    private final Configuration configuration;
+    private final Reducer reducer;
+    private final Listener listener;
+    private final ThriftFront front;
+    private final EngineLinks engines;
+    private final ChangeLog changes;
+
+    /** Binds the address, so that a wrong one is told before anything runs. */
+    FrontEnd(Configuration c) throws IOException {
+        configuration = c;
+        reducer = new Reducer(c.site(), new Brain(c.site().module(), c.seed()));
+        listener = new Listener(c.listen());
+        front = new ThriftFront(c.site(), (int) (c.sockets() * CLIENT_SHARE), clock, inputs::add, this::report);
+        engines = new EngineLinks(c.site().module().fleet().reportFields(), inputs::add);
+        changes = new ChangeLog(c.changeLog(), inputs::add);
+    }
+
+    /** Serves until told to stop and all that was taken is answered. */
+    void run() throws InterruptedException {
+        perform(reducer.start(clock.now(), configuration.known().seq(), configuration.known().events()));
+        listener.start(front::accept);
+        lifecycle.enter(Phase.SERVING);
+        System.err.println(configuration.name() + ": serving on " + configuration.listen());
+        List<Input> batch = new ArrayList<>();
+        while (lifecycle.phase() != Phase.STOPPED) {
+            batch.add(inputs.take());
+            inputs.drainTo(batch);
+            step(batch);
+            batch.clear();
+            if (lifecycle.phase() == Phase.FINISHING && reducer.open() == 0) {
+                stop();
+            }
+        }
+    }
+
+    /** Asks for an orderly end and waits for it; called from another thread. */
+    void leave() throws InterruptedException {
+        if (lifecycle.enter(Phase.LEAVING)) {
+            timers.after(LEAVING_MS, () -> {
+                listener.close();
+                lifecycle.enter(Phase.FINISHING);
+                inputs.add(new Input.CallerGone(0)); // wakes the loop, which may have nothing open
+            });
+        }
+        lifecycle.await(Phase.STOPPED);
+        System.err.println(configuration.name() + ": stopped: " + report());
+    }
+
+    private void stop() throws InterruptedException {
+        front.finish();
+        double until = clock.now() + FLUSH_MS;
+        while (front.connections() > 0 && clock.now() < until) {
+            inputs.poll(10, java.util.concurrent.TimeUnit.MILLISECONDS);
+        }
+        lifecycle.enter(Phase.STOPPED);
+    }
+
+    private void step(List<Input> batch) {
+        try {
+            batch.forEach(counters::taken);
+            perform(reducer.step(clock.now(), batch));
+        } catch (RuntimeException e) { // nothing that comes from a peer may end the program
+            System.err.println(configuration.name() + ": in the reducer:");
+            e.printStackTrace();
+            counters.count("errors.reducer");
+        }
+    }
+
+    private void perform(List<Effect> effects) {
+        for (Effect e : effects) {
+            counters.done(e);
+            perform(e);
+        }
+    }
+
+    private void perform(Effect effect) {
+        if (effect instanceof Effect.StartTimer e) {
+            timers.start(e.key(), e.delayMs());
+        } else if (effect instanceof Effect.StopTimer e) {
+            timers.stop(e.key());
+        } else if (effect instanceof Effect.Answer e) {
+            front().reply(e.caller(), e.reply());
+        } else if (effect instanceof Effect.Send e) {
+            engines.send(e);
+        } else if (effect instanceof Effect.Cancel e) {
+            engines.cancel(e);
+        } else if (effect instanceof Effect.ReadPage e) {
+            engines.readPage(e);
+        } else if (effect instanceof Effect.Release e) {
+            engines.release(e);
+        } else if (effect instanceof Effect.OpenLink e) {
+            engines.open(e);
+        } else if (effect instanceof Effect.CloseLink e) {
+            engines.close(e);
+        } else if (effect instanceof Effect.AnswerHealth e) {
+            front().health(e.caller(), e.canServe() && lifecycle.phase() == Phase.SERVING);
+        } else if (effect instanceof Effect.Probe e) {
+            engines.probe(e);
+        } else if (effect instanceof Effect.Poll e) {
+            changes.poll(e);
+        } else if (effect instanceof Effect.DropPoll) {
+            changes.drop();
+        } else if (effect instanceof Effect.Log e) {
+            System.err.println(configuration.name() + ": " + e.line());
+        }
+    }
+
+    private Front front() {
+        return front;
+    }
+
+    private Map<String, String> report() {
+        Map<String, String> all = new LinkedHashMap<>(counters.all());
+        all.put("phase", lifecycle.phase().name().toLowerCase(java.util.Locale.ROOT));
+        all.put("requests.open", Integer.toString(reducer.open()));
+        all.put("clients.connected", Integer.toString(front.connections()));
+        all.put("engines.connected", Integer.toString(engines.size()));
+        return all;
+    }
+}
--- /dev/null
+++ b/src/main/java/quincespar/program/Lifecycle.java
@@ -0,0 +1,40 @@
+package quincespar.program;
+
+/** Where the program stands between its start and its exit. */
+final class Lifecycle {
+    /** The phases, in order; none is entered twice. */
+    enum Phase {
+        /** Reading the configuration and binding the address. */
+        STARTING,
+        /** Taking requests and answering them. */
+        SERVING,
+        /** Told to stop: clients may not know yet, so all that comes is still taken. */
+        LEAVING,
+        /** Accepting no more connections; what was taken is answered. */
+        FINISHING,
+        /** All is answered: the last bytes are written and the program ends. */
+        STOPPED
+    }
+
+    private Phase phase = Phase.STARTING;
+
+    synchronized Phase phase() {
+        return phase;
+    }
+
+    /** Goes on to a later phase; false where it is that far already. */
+    synchronized boolean enter(Phase next) {
+        if (next.compareTo(phase) <= 0) {
+            return false;
+        }
+        phase = next;
+        notifyAll();
+        return true;
+    }
+
+    synchronized void await(Phase wanted) throws InterruptedException {
+        while (phase.compareTo(wanted) < 0) {
+            wait();
+        }
+    }
+}
--- a/src/main/java/quincespar/program/Main.java
+++ b/src/main/java/quincespar/program/Main.java
@@ -54,6 +54,20 @@
         }
     }
 
+    @Command(name = "serve", description = "Serve clients, as GW_CONFIG, GW_LISTEN and GW_NAME say.")
+    int serve() throws IOException, InterruptedException {
+        FrontEnd frontEnd = new FrontEnd(Configuration.read(System.getenv()));
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            try {
+                frontEnd.leave();
+            } catch (InterruptedException e) {
+                System.err.println("quincespar: interrupted while leaving");
+            }
+        }, "leave"));
+        frontEnd.run();
+        return 0;
+    }
+
     @Command(name = "version", description = "Print the version.")
     int version() {
         System.out.println(new Version().getVersion()[0]);
--- /dev/null
+++ b/src/main/java/quincespar/protocol/StatementScan.java
@@ -0,0 +1,130 @@
+package quincespar.protocol;
+
+import java.util.Locale;
+import java.util.Set;
+
+/**
+ * Finds the group of tables that a statement reads or writes: the number after the underscore in its schema's
+ * name. Strings and comments are skipped, and so is the schema {@code staging}. It is a scan, not a parser.
+ */
+public final class StatementScan {
+    private static final Set<String> BEFORE_TABLE = Set.of("from", "join", "into", "update", "table", "using");
+
+    private final String s;
+    private int at;
+    private int behindTable = -1;
+    private int anywhere = -1;
+
+    private StatementScan(String s) {
+        this.s = s;
+    }
+
+    /** The group of tables, or 0 where none is named. */
+    public static int group(String statement) {
+        return new StatementScan(statement).scan();
+    }
+
+    private int scan() {
+        boolean tableNext = false;
+        while (at < s.length()) {
+            char c = s.charAt(at);
+            if (skipped(c)) {
+                continue;
+            }
+            if (c == '"' || c == '`' || c == '[' || Character.isLetter(c) || c == '_') {
+                boolean plain = Character.isLetter(c) || c == '_';
+                String word = plain ? word() : quoted(c == '[' ? ']' : c);
+                if (plain && BEFORE_TABLE.contains(word.toLowerCase(Locale.ROOT)) && !dotNext()) {
+                    tableNext = true;
+                } else {
+                    name(word, tableNext);
+                    tableNext = false;
+                }
+            } else if (Character.isDigit(c)) {
+                word();
+            } else {
+                at++;
+            }
+        }
+        return behindTable >= 0 ? behindTable : Math.max(0, anywhere);
+    }
+
+    /** Steps over what can hold no name: white space, a string, a comment. */
+    private boolean skipped(char c) {
+        if (Character.isWhitespace(c)) {
+            at++;
+        } else if (c == '\'') {
+            quoted('\'');
+        } else if (s.startsWith("--", at) || c == '#') {
+            at = end(s.indexOf('\n', at), 1);
+        } else if (s.startsWith("/*", at)) {
+            at = end(s.indexOf("*/", at + 2), 2);
+        } else {
+            return false;
+        }
+        return true;
+    }
+
+    private int end(int found, int width) {
+        return found < 0 ? s.length() : found + width;
+    }
+
+    private String word() {
+        int from = at;
+        while (at < s.length() && (Character.isLetterOrDigit(s.charAt(at)) || s.charAt(at) == '_'
+                || s.charAt(at) == '$')) {
+            at++;
+        }
+        return s.substring(from, at);
+    }
+
+    /** What stands between quotes; a doubled one is part of it. */
+    private String quoted(char quote) {
+        StringBuilder out = new StringBuilder();
+        for (at++; at < s.length(); at++) {
+            if (s.charAt(at) == quote) {
+                if (at + 1 >= s.length() || s.charAt(at + 1) != quote) {
+                    at++;
+                    return out.toString();
+                }
+                at++;
+            }
+            out.append(s.charAt(at));
+        }
+        return out.toString();
+    }
+
+    private boolean dotNext() {
+        int before = at;
+        while (at < s.length() && skipped(s.charAt(at))) {
+            continue;
+        }
+        boolean dot = at < s.length() && s.charAt(at) == '.';
+        at = before;
+        return dot;
+    }
+
+    private void name(String word, boolean asTable) {
+        if (!dotNext()) {
+            return;
+        }
+        int group = number(word);
+        if (group >= 0) {
+            behindTable = asTable && behindTable < 0 ? group : behindTable;
+            anywhere = anywhere < 0 ? group : anywhere;
+        }
+    }
+
+    private static int number(String schema) {
+        int line = schema.lastIndexOf('_');
+        if (line < 0 || line + 1 == schema.length() || schema.length() - line > 9) {
+            return -1;
+        }
+        for (int i = line + 1; i < schema.length(); i++) {
+            if (schema.charAt(i) < '0' || schema.charAt(i) > '9') {
+                return -1;
+            }
+        }
+        return Integer.parseInt(schema, line + 1, schema.length(), 10);
+    }
+}
--- /dev/null
+++ b/src/main/java/quincespar/protocol/thrift/FrontCodec.java
@@ -0,0 +1,261 @@
+package quincespar.protocol.thrift;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.BufferUnderflowException;
+import java.nio.ByteBuffer;
+import java.nio.charset.CharacterCodingException;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import quincespar.protocol.MalformedException;
+
+/** The service {@code Front} in Thrift's strict binary protocol; frames are cut by {@link FrameDecoder}. */
+public final class FrontCodec {
+    /** Types of an application exception. */
+    public static final int UNKNOWN_METHOD = 1, INVALID_MESSAGE = 2, INTERNAL = 6, PROTOCOL = 7;
+
+    private static final int VERSION = 0x80010000, CALL = 1, REPLY = 2, EXCEPTION = 3, ONEWAY = 4;
+    private static final int STOP = 0, BOOL = 2, BYTE = 3, DOUBLE = 4, I16 = 6, I32 = 8, I64 = 10, STRING = 11,
+            STRUCT = 12, MAP = 13, SET = 14, LIST = 15;
+    private static final int DEEPEST = 8;
+
+    private FrontCodec() { }
+
+    // ---- reading -----------------------------------------------------------------------------------------
+
+    /** Reads a frame; throws {@link MalformedException} where not even its sequence number can be read. */
+    public static Message read(byte[] frame) {
+        ByteBuffer in = ByteBuffer.wrap(frame);
+        int head;
+        String method;
+        int seqid;
+        try {
+            head = in.getInt();
+            if ((head & 0xffff0000) != VERSION) {
+                throw new MalformedException("not the strict binary protocol");
+            }
+            method = text(in);
+            seqid = in.getInt();
+        } catch (BufferUnderflowException e) {
+            throw new MalformedException("a message that ends in its head");
+        }
+        int type = head & 0xff;
+        if (type != CALL && type != ONEWAY) {
+            return new Message.Wrong(seqid, INVALID_MESSAGE, "a message of type " + type);
+        }
+        try {
+            return switch (method) {
+                case "call" -> call(in, seqid);
+                case "cancel" -> cancel(in, seqid);
+                case "health" -> {
+                    skip(in, STRUCT, 0);
+                    yield new Message.Health(seqid);
+                }
+                default -> new Message.Wrong(seqid, UNKNOWN_METHOD, "no method " + method);
+            };
+        } catch (BufferUnderflowException e) {
+            return new Message.Wrong(seqid, PROTOCOL, "the message ends too early");
+        } catch (MalformedException e) {
+            return new Message.Wrong(seqid, PROTOCOL, e.getMessage());
+        }
+    }
+
+    private static Message call(ByteBuffer in, int seqid) {
+        Map<String, String> fields = Map.of();
+        byte[] body = new byte[0];
+        for (int type = in.get(); type != STOP; type = in.get()) {
+            int id = in.getShort();
+            if (id == 1 && type == MAP) {
+                fields = map(in);
+            } else if (id == 2 && type == STRING) {
+                body = bytes(in);
+            } else {
+                skip(in, type, 0);
+            }
+        }
+        return new Message.Call(seqid, fields, body);
+    }
+
+    private static Message cancel(ByteBuffer in, int seqid) {
+        int cancelled = 0;
+        for (int type = in.get(); type != STOP; type = in.get()) {
+            int id = in.getShort();
+            if (id == 1 && type == I32) {
+                cancelled = in.getInt();
+            } else {
+                skip(in, type, 0);
+            }
+        }
+        return new Message.Cancel(seqid, cancelled);
+    }
+
+    private static Map<String, String> map(ByteBuffer in) {
+        int key = in.get();
+        int value = in.get();
+        int n = count(in);
+        if (n > 0 && (key != STRING || value != STRING)) {
+            throw new MalformedException("fields that are not text");
+        }
+        Map<String, String> out = new LinkedHashMap<>();
+        for (int i = 0; i < n; i++) {
+            out.put(text(in), text(in));
+        }
+        return out;
+    }
+
+    private static int count(ByteBuffer in) {
+        int n = in.getInt();
+        if (n < 0 || n > in.remaining()) {
+            throw new MalformedException("a length of " + n + " past the message's end");
+        }
+        return n;
+    }
+
+    private static byte[] bytes(ByteBuffer in) {
+        byte[] out = new byte[count(in)];
+        in.get(out);
+        return out;
+    }
+
+    private static String text(ByteBuffer in) {
+        int n = count(in);
+        ByteBuffer part = in.slice(in.position(), n);
+        in.position(in.position() + n);
+        try {
+            return StandardCharsets.UTF_8.newDecoder().decode(part).toString();
+        } catch (CharacterCodingException e) {
+            throw new MalformedException("text that is not UTF-8");
+        }
+    }
+
+    private static void skip(ByteBuffer in, int type, int depth) {
+        if (depth > DEEPEST) { // nesting would run a reader's small stack over
+            throw new MalformedException("nested too deep");
+        }
+        switch (type) {
+            case BOOL, BYTE -> in.get();
+            case I16 -> in.getShort();
+            case I32 -> in.getInt();
+            case I64, DOUBLE -> in.getLong();
+            case STRING -> bytes(in);
+            case STRUCT -> {
+                for (int t = in.get(); t != STOP; t = in.get()) {
+                    in.getShort();
+                    skip(in, t, depth + 1);
+                }
+            }
+            case MAP -> {
+                int key = in.get();
+                int value = in.get();
+                int n = count(in);
+                for (int i = 0; i < n; i++) {
+                    skip(in, key, depth + 1);
+                    skip(in, value, depth + 1);
+                }
+            }
+            case SET, LIST -> {
+                int item = in.get();
+                int n = count(in);
+                for (int i = 0; i < n; i++) {
+                    skip(in, item, depth + 1);
+                }
+            }
+            default -> throw new MalformedException("no type " + type);
+        }
+    }
+
+    // ---- writing -----------------------------------------------------------------------------------------
+
+    /** The frame of an {@code Answer}. */
+    public static byte[] answer(String method, int seqid, byte[] body, Map<String, String> fields, boolean good) {
+        Out out = new Out(REPLY, method, seqid);
+        out.field(STRUCT, 0);
+        out.field(STRING, 1);
+        out.bytes(body);
+        out.fields(2, fields);
+        out.field(BOOL, 3);
+        out.write(good ? 1 : 0);
+        out.write(STOP);
+        return out.frame();
+    }
+
+    /** The frame of a {@code Busy}. */
+    public static byte[] busy(int seqid, Map<String, String> fields) {
+        return declared(seqid, 1, fields);
+    }
+
+    /** The frame of a {@code Failed}. */
+    public static byte[] failed(int seqid, Map<String, String> fields) {
+        return declared(seqid, 2, fields);
+    }
+
+    private static byte[] declared(int seqid, int id, Map<String, String> fields) {
+        Out out = new Out(REPLY, "call", seqid);
+        out.field(STRUCT, id);
+        out.fields(1, fields);
+        out.write(STOP);
+        return out.frame();
+    }
+
+    /** The frame of an application exception. */
+    public static byte[] exception(int seqid, int type, String why) {
+        Out out = new Out(EXCEPTION, "call", seqid);
+        out.field(STRING, 1);
+        out.bytes(why.getBytes(StandardCharsets.UTF_8));
+        out.field(I32, 2);
+        out.int32(type);
+        return out.frame();
+    }
+
+    /** The frame of a {@code health} call, for the command that asks a running front end. */
+    public static byte[] askHealth(int seqid) {
+        Out out = new Out(CALL, "health", seqid);
+        out.field(BOOL, 1);
+        out.write(0);
+        return out.frame();
+    }
+
+    private static final class Out extends ByteArrayOutputStream {
+        Out(int type, String method, int seqid) {
+            int32(0); // the frame's length, set at the end
+            int32(VERSION | type);
+            bytes(method.getBytes(StandardCharsets.UTF_8));
+            int32(seqid);
+        }
+
+        void int32(int v) {
+            for (int shift = 24; shift >= 0; shift -= 8) {
+                write(v >>> shift);
+            }
+        }
+
+        void bytes(byte[] b) {
+            int32(b.length);
+            writeBytes(b);
+        }
+
+        void field(int type, int id) {
+            write(type);
+            write(id >>> 8);
+            write(id);
+        }
+
+        void fields(int id, Map<String, String> fields) {
+            field(MAP, id);
+            write(STRING);
+            write(STRING);
+            int32(fields.size());
+            fields.forEach((k, v) -> {
+                bytes(k.getBytes(StandardCharsets.UTF_8));
+                bytes(v.getBytes(StandardCharsets.UTF_8));
+            });
+        }
+
+        byte[] frame() {
+            write(STOP);
+            byte[] all = toByteArray();
+            ByteBuffer.wrap(all).putInt(all.length - 4);
+            return all;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/quincespar/routing/Attempt.java
@@ -0,0 +1,65 @@
+package quincespar.routing;
+
+import java.io.ByteArrayOutputStream;
+import java.util.List;
+import quincespar.decision.Gateway.Outcome;
+import quincespar.transport.Passage;
+
+/** One sending of a request to one engine. */
+final class Attempt {
+    final OpenRequest request;
+    final AttemptKey key;
+    final long engine;
+    final double at;
+    final double until;
+    final Passage passage = new Passage();
+    Link link;
+    /** Its end, once it has one. */
+    Outcome outcome;
+    /** What it ends as once its cancel is written; null while it is not given up. */
+    Outcome givenUp;
+    List<Double> load = List.of();
+    private byte[][] pages;
+    private int missing;
+
+    Attempt(OpenRequest request, int number, long engine, double at, double until) {
+        this.request = request;
+        this.key = new AttemptKey(request.id, number);
+        this.engine = engine;
+        this.at = at;
+        this.until = until;
+    }
+
+    boolean done() {
+        return pages != null;
+    }
+
+    int pageCount() {
+        return pages.length;
+    }
+
+    void begin(int count, byte[] first) {
+        pages = new byte[count][];
+        missing = count;
+        add(0, first);
+    }
+
+    void add(int number, byte[] page) {
+        if (number >= 0 && number < pages.length && pages[number] == null) {
+            pages[number] = page;
+            missing--;
+        }
+    }
+
+    boolean whole() {
+        return missing == 0;
+    }
+
+    byte[] result() {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        for (byte[] p : pages) {
+            out.writeBytes(p);
+        }
+        return out.toByteArray();
+    }
+}
--- /dev/null
+++ b/src/main/java/quincespar/routing/Effect.java
@@ -0,0 +1,49 @@
+package quincespar.routing;
+
+import quincespar.transport.Passage;
+
+/** Something that the reducer asks to be done. None of it waits. */
+public sealed interface Effect {
+    /** Give a client its final answer. */
+    record Answer(Caller caller, Reply reply) implements Effect { }
+
+    /** Say whether requests can be served. */
+    record AnswerHealth(Caller caller, boolean canServe) implements Effect { }
+
+    /** Connect to an engine. */
+    record OpenLink(long link, String address) implements Effect { }
+
+    /** Close a link at once. */
+    record CloseLink(long link, String why) implements Effect { }
+
+    /** Send an attempt, if {@code passage} stands when its first byte would go out. */
+    record Send(long link, AttemptKey key, String txn, String queue, long budgetMs, byte[] statement,
+            Passage passage) implements Effect { }
+
+    /** Give an attempt up, and say when that is written. */
+    record Cancel(long link, AttemptKey key, String txn) implements Effect { }
+
+    /** Ask for a further page. */
+    record ReadPage(long link, String txn, int page) implements Effect { }
+
+    /** Want no more pages. */
+    record Release(long link, String txn) implements Effect { }
+
+    /** Ask an engine how it is. */
+    record Probe(long link, String tag) implements Effect { }
+
+    /** Start a timer. */
+    record StartTimer(TimerKey key, double delayMs) implements Effect { }
+
+    /** Stop a timer. */
+    record StopTimer(TimerKey key) implements Effect { }
+
+    /** Ask the change log for what came after an event. */
+    record Poll(long serial, long since, long waitMs) implements Effect { }
+
+    /** Give up what is asked of the change log. */
+    record DropPoll() implements Effect { }
+
+    /** Tell the operators. */
+    record Log(String line) implements Effect { }
+}
--- /dev/null
+++ b/src/main/java/quincespar/routing/Fleet.java
@@ -0,0 +1,111 @@
+package quincespar.routing;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import quincespar.decision.Gateway;
+import quincespar.decision.Gateway.EngineState;
+import quincespar.protocol.FleetEvent;
+import quincespar.protocol.FleetEvent.Phase;
+
+/**
+ * The engines by their id. Never by address: a new engine may take the address of one that has gone, and what
+ * was sent to the old one must not be taken for the new one's.
+ */
+final class Fleet {
+    /** An engine, and the links to it. */
+    static final class Engine {
+        final long number;
+        final List<Link> links = new ArrayList<>();
+        FleetEvent.Member listed;
+
+        Engine(long number, FleetEvent.Member listed) {
+            this.number = number;
+            this.listed = listed;
+        }
+
+        boolean ready() {
+            return listed.phase() == Phase.UP;
+        }
+    }
+
+    private final Site site;
+    private final Map<Long, Engine> engines = new LinkedHashMap<>();
+    private boolean listed;
+
+    Fleet(Site site) {
+        this.site = site;
+    }
+
+    Engine get(long number) {
+        return engines.get(number);
+    }
+
+    Collection<Engine> all() {
+        return List.copyOf(engines.values());
+    }
+
+    boolean canServe() {
+        return engines.values().stream().anyMatch(Engine::ready);
+    }
+
+    /** Takes one event of the change log, and words it for the module. */
+    Gateway.Listed take(FleetEvent event) {
+        Gateway.ListKind kind = !event.complete() ? Gateway.ListKind.DELTA
+                : listed ? Gateway.ListKind.FULL : Gateway.ListKind.CACHED;
+        listed = true;
+        List<Gateway.Engine> told = new ArrayList<>();
+        List<Long> named = new ArrayList<>();
+        for (FleetEvent.Member m : event.members()) {
+            Engine e = engine(m);
+            named.add(e.number);
+            told.add(word(e));
+        }
+        if (event.complete()) {
+            for (Engine e : engines.values()) {
+                if (!named.contains(e.number)) {
+                    e.listed = e.listed.removed();
+                }
+            }
+        }
+        return new Gateway.Listed(kind, event.revision(), told);
+    }
+
+    /** Drops engines that are gone and have no link left. */
+    void tidy() {
+        engines.values().removeIf(e -> e.listed.phase() == Phase.REMOVED && e.links.isEmpty());
+    }
+
+    private Engine engine(FleetEvent.Member m) {
+        long number = number(m.id());
+        Engine e = engines.computeIfAbsent(number, n -> new Engine(n, m));
+        e.listed = m;
+        return e;
+    }
+
+    /** Ids are text and the module's are numbers: hashed, so that all front ends agree on them. */
+    private long number(String id) {
+        long h = 0xcbf29ce484222325L;
+        for (int i = 0; i < id.length(); i++) {
+            h = (h ^ id.charAt(i)) * 0x100000001b3L;
+        }
+        h = (h ^ h >>> 48) & 0xffffffffffffL;
+        while (engines.containsKey(h) && !engines.get(h).listed.id().equals(id)) {
+            h++;
+        }
+        return h;
+    }
+
+    private Gateway.Engine word(Engine e) {
+        FleetEvent.Member m = e.listed;
+        EngineState state = switch (m.phase()) {
+            case UP -> EngineState.READY;
+            case DRAINING -> EngineState.DRAINING;
+            case REMOVED -> EngineState.GONE;
+        };
+        return new Gateway.Engine(e.number, Math.max(0, site.zones().indexOf(m.zone())),
+                Math.max(0, site.kinds().indexOf(m.kind())), m.cell(), state, m.size(), m.startedAt());
+    }
+}
--- /dev/null
+++ b/src/main/java/quincespar/routing/Input.java
@@ -0,0 +1,40 @@
+package quincespar.routing;
+
+import java.util.List;
+import quincespar.protocol.FleetEvent;
+
+/** Something that happened outside the reducer. */
+public sealed interface Input {
+    /** A client's request has come whole; {@code at} is when its last byte did. */
+    record Asked(Caller caller, Query query, double at) implements Input { }
+
+    /** A client has stopped waiting for one request. */
+    record Withdrawn(Caller caller) implements Input { }
+
+    /** A front connection is over. */
+    record CallerGone(long connection) implements Input { }
+
+    /** A client or the front layer asks whether requests can be served. */
+    record HealthAsked(Caller caller) implements Input { }
+
+    /** A link to an engine is up. */
+    record LinkUp(long link) implements Input { }
+
+    /** A link is over, or never came up. */
+    record LinkDown(long link, String cause) implements Input { }
+
+    /** An engine has said something. */
+    record Said(long link, EngineNews news) implements Input { }
+
+    /** The cancel of an attempt has been written. */
+    record CancelWritten(AttemptKey key) implements Input { }
+
+    /** The change log has answered. */
+    record Changes(long serial, long seq, List<FleetEvent> events) implements Input { }
+
+    /** The change log did not answer, or with what can't be read. */
+    record ChangesFailed(long serial, String cause) implements Input { }
+
+    /** A timer came due. */
+    record TimerFired(TimerKey key) implements Input { }
+}
--- /dev/null
+++ b/src/main/java/quincespar/routing/Query.java
@@ -0,0 +1,8 @@
+package quincespar.routing;
+
+/**
+ * A request in no protocol's terms. {@code work} is NaN and {@code memory} 0 where there is no estimate; {@code
+ * limitMs} is how long its client waits, counted from the request's last byte.
+ */
+public record Query(String txn, int cls, int tenant, double limitMs, boolean repeat, double work, double memory,
+        int tables, byte[] statement) { }
--- /dev/null
+++ b/src/main/java/quincespar/routing/Reducer.java
@@ -0,0 +1,527 @@
+package quincespar.routing;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import quincespar.decision.Gateway;
+import quincespar.decision.Gateway.Action;
+import quincespar.decision.Gateway.Event;
+import quincespar.decision.Gateway.Outcome;
+import quincespar.protocol.FleetEvent;
+
+/**
+ * All state of the front end and all changes to it: takes inputs, tells the module of them as its events, turns
+ * the module's actions into effects. It decides nothing that the module decides; it keeps the rules that need
+ * sockets to be seen. One thread calls it, and it does no reading or writing itself.
+ */
+public final class Reducer {
+    /** What an answer's way out may take: the module must have answered this long before the client gives up. */
+    private static final double MARGIN = 60;
+    /** The last moment for an answer of any kind, before the client gives up. */
+    private static final double LAST = 15;
+    private static final double LEAST_CONNECT = 50;
+    private static final double PROBE = 250;
+    /** How long a cancel may wait in an outbox before its link is taken for stuck. */
+    private static final double CANCEL = 150;
+    /** Links are closed here well before their engines close them, so that no send meets such a close. */
+    private static final double IDLE_SHARE = 0.6;
+    private static final int MOST_LINKS = 8;
+    /** A poll is shorter than the protocol allows: one lost in silence is then noticed within the 7 s. */
+    private static final long POLL = 2000;
+    private static final double POLL_SLACK = 1000;
+    private static final double POLL_PAUSE = 250;
+    private static final int MOST_BYTES = 48_000;
+
+    private final Site site;
+    private final Gateway gateway;
+    private final Fleet fleet;
+    private final Map<Long, OpenRequest> requests = new LinkedHashMap<>();
+    private final Map<Caller, OpenRequest> callers = new LinkedHashMap<>();
+    private final Map<Long, Link> links = new LinkedHashMap<>();
+    private final Map<String, Link> probes = new LinkedHashMap<>();
+    private List<Effect> effects = new ArrayList<>();
+    private List<Event> events = new ArrayList<>();
+    private double now;
+    private long serial;
+    private long poll;
+    private long seq;
+
+    /** A reducer round one module. */
+    public Reducer(Site site, Gateway gateway) {
+        this.site = site;
+        this.gateway = gateway;
+        fleet = new Fleet(site);
+    }
+
+    /** The first step: the events of the start, and the first question to the change log. */
+    public List<Effect> start(double time, long lastSeq, List<FleetEvent> known) {
+        now = time;
+        seq = lastSeq;
+        known.forEach(e -> events.add(fleet.take(e)));
+        ask();
+        return decide();
+    }
+
+    /** Takes what happened by {@code time}, in order; answers what is to be done. */
+    public List<Effect> step(double time, List<Input> inputs) {
+        now = Math.max(now, time);
+        inputs.forEach(this::take);
+        return decide();
+    }
+
+    /** Requests that are owed an answer. */
+    public int open() {
+        return callers.size();
+    }
+
+    private List<Effect> decide() {
+        while (!events.isEmpty()) { // an attempt that ends at once is an event in its turn
+            List<Event> batch = events;
+            events = new ArrayList<>();
+            for (Action a : gateway.decide(now, batch)) {
+                carryOut(a);
+            }
+        }
+        List<Effect> out = effects;
+        effects = new ArrayList<>();
+        return out;
+    }
+
+    private void take(Input i) {
+        if (i instanceof Input.Asked x) {
+            asked(x);
+        } else if (i instanceof Input.Said x) {
+            said(x);
+        } else if (i instanceof Input.TimerFired x) {
+            fired(x.key());
+        } else if (i instanceof Input.CancelWritten x) {
+            Attempt a = attempt(x.key());
+            if (a != null && a.outcome == null && a.givenUp != null) {
+                end(a, a.givenUp);
+            }
+        } else if (i instanceof Input.LinkUp x) {
+            linkUp(links.get(x.link()));
+        } else if (i instanceof Input.LinkDown x) {
+            linkDown(links.remove(x.link()));
+        } else if (i instanceof Input.Withdrawn x) {
+            left(x.caller());
+        } else if (i instanceof Input.CallerGone x) {
+            List.copyOf(callers.keySet()).stream().filter(c -> c.connection() == x.connection()).forEach(this::left);
+        } else if (i instanceof Input.HealthAsked x) {
+            effects.add(new Effect.AnswerHealth(x.caller(), fleet.canServe()));
+        } else if (i instanceof Input.Changes x) {
+            changes(x);
+        } else if (i instanceof Input.ChangesFailed x && x.serial() == poll) {
+            pollFailed(x.cause());
+        }
+    }
+
+    // ---- requests ----------------------------------------------------------------------------------------
+
+    private void asked(Input.Asked x) {
+        Query q = x.query();
+        double margin = Math.min(MARGIN, q.limitMs() / 10);
+        OpenRequest r = new OpenRequest(++serial, x.caller(), q, x.at() + q.limitMs() - margin);
+        requests.put(r.id, r);
+        callers.put(r.caller, r);
+        startTimer(new TimerKey.Request(r.id), x.at() + q.limitMs() - Math.min(LAST, margin / 4) - now);
+        events.add(new Gateway.Request(r.id, q.cls(), q.tenant(), Math.max(0, r.until - now), q.work(),
+                q.memory(), q.tables(), 0, q.repeat(), site.module().classes().get(q.cls()).loads()));
+    }
+
+    private void left(Caller c) {
+        OpenRequest r = callers.get(c);
+        if (r != null) {
+            close(r);
+            events.add(new Gateway.Left(r.id));
+        }
+    }
+
+    /** Exactly one final answer: a request that is over gets none. */
+    private void answer(OpenRequest r, Reply reply) {
+        if (r != null && !r.over) {
+            effects.add(new Effect.Answer(r.caller, reply));
+            close(r);
+        }
+    }
+
+    private void close(OpenRequest r) {
+        r.over = true;
+        callers.remove(r.caller);
+        effects.add(new Effect.StopTimer(new TimerKey.Request(r.id)));
+        forget(r);
+    }
+
+    private void forget(OpenRequest r) {
+        if (r.over && !r.running()) {
+            requests.remove(r.id);
+        }
+    }
+
+    // ---- the module's actions ----------------------------------------------------------------------------
+
+    private void carryOut(Action action) {
+        if (action instanceof Gateway.Send a) {
+            send(requests.get(a.id()), a);
+        } else if (action instanceof Gateway.Refuse a) {
+            refuse(requests.get(a.id()), a.comeBack());
+        } else if (action instanceof Gateway.Fail a) {
+            answer(requests.get(a.id()), new Reply.Failed("given up"));
+        } else if (action instanceof Gateway.Cancel a) {
+            Attempt at = attempt(new AttemptKey(a.id(), a.attempt()));
+            if (at != null) {
+                giveUp(at, Outcome.CANCELLED);
+            }
+        } else if (action instanceof Gateway.SetTimer a) {
+            startTimer(new TimerKey.Module(a.token(), ++serial), a.delay());
+        } else if (action instanceof Gateway.Probe a) {
+            probe(fleet.get(a.engine()));
+        } else if (!(action instanceof Gateway.Watch || action instanceof Gateway.Fetch)) {
+            // the change log is always followed; words between front ends and terms are not in the protocol
+            effects.add(new Effect.Log("the module asks for what the protocol does not have: " + action));
+        }
+    }
+
+    private void refuse(OpenRequest r, double comeBack) {
+        if (r != null && unsafe(r) && r.mayHaveRun()) { // a refusal says that a repeat is harmless
+            effects.add(new Effect.Log("refusal of " + r.query.txn() + ", which may have run, was made a failure"));
+            answer(r, new Reply.Failed("it may have run"));
+        } else {
+            answer(r, new Reply.Refused(comeBack));
+        }
+    }
+
+    private boolean unsafe(OpenRequest r) {
+        return site.module().classes().get(r.query.cls()).effect() != Gateway.Effect.SAFE;
+    }
+
+    private void send(OpenRequest r, Gateway.Send s) {
+        if (r == null || r.over || r.running() || unsafe(r) && r.mayHaveRun()) { // never twice, never two at once
+            effects.add(new Effect.Log("the module's " + s + " was not carried out"));
+            return;
+        }
+        double until = s.timeout() > 0 ? Math.min(r.until, now + s.timeout()) : r.until;
+        Attempt a = new Attempt(r, r.attempts.size(), s.engine(), now, until);
+        r.attempts.add(a);
+        Fleet.Engine e = fleet.get(s.engine());
+        if (e == null || !e.ready()) {
+            end(a, Outcome.CONNECT_FAILED);
+            return;
+        }
+        startTimer(new TimerKey.Attempt(a.key), until - now);
+        a.link = link(e, r.query.txn());
+        if (a.link == null) {
+            end(a, Outcome.CONNECT_FAILED);
+            return;
+        }
+        a.link.open.put(r.query.txn(), a);
+        if (a.link.up) {
+            write(a);
+        }
+    }
+
+    private void write(Attempt a) {
+        Query q = a.request.query;
+        effects.add(new Effect.Send(a.link.id, a.key, q.txn(), site.module().classes().get(q.cls()).name(),
+                Math.max(1, Math.round(a.until - now)), q.statement(), a.passage));
+    }
+
+    // ---- attempts ----------------------------------------------------------------------------------------
+
+    private Attempt attempt(AttemptKey key) {
+        OpenRequest r = requests.get(key.request());
+        return r == null || key.attempt() >= r.attempts.size() ? null : r.attempts.get(key.attempt());
+    }
+
+    /** Ends an attempt from here. The module hears of it once the cancel is written, and not before. */
+    private void giveUp(Attempt a, Outcome as) {
+        if (a.outcome != null || a.givenUp != null) {
+            return;
+        }
+        if (a.passage.revoke()) {
+            end(a, as == Outcome.TIMEOUT ? Outcome.CONNECT_FAILED : as);
+        } else if (a.done()) {
+            effects.add(new Effect.Release(a.link.id, a.request.query.txn()));
+            end(a, as);
+        } else {
+            a.givenUp = as;
+            a.link.abandoned.add(a.request.query.txn());
+            startTimer(new TimerKey.GiveUp(a.key), CANCEL);
+            effects.add(new Effect.Cancel(a.link.id, a.key, a.request.query.txn()));
+        }
+    }
+
+    private void end(Attempt a, Outcome outcome) {
+        if (a.outcome != null) {
+            return;
+        }
+        a.outcome = outcome;
+        effects.add(new Effect.StopTimer(new TimerKey.Attempt(a.key)));
+        if (a.givenUp != null) {
+            effects.add(new Effect.StopTimer(new TimerKey.GiveUp(a.key)));
+        }
+        if (a.link != null && a.link.open.remove(a.request.query.txn(), a)) {
+            // silent since before it was sent: what is sent next tries a new connection, which proves more
+            a.link.suspect |= a.givenUp != null && a.link.heardAt < a.at;
+            rest(a.link);
+        }
+        events.add(new Gateway.Ended(a.key.request(), a.key.attempt(), a.engine, outcome, now - a.at,
+                a.request.over, Double.NaN, Double.NaN, a.load));
+        forget(a.request);
+    }
+
+    private void said(Input.Said x) {
+        Link l = links.get(x.link());
+        if (l == null) {
+            return;
+        }
+        l.heardAt = now;
+        EngineNews news = x.news();
+        if (news instanceof EngineNews.Health h) {
+            probed(h.id(), h.fit(), h.load());
+            return;
+        }
+        Attempt a = l.open.get(news.id());
+        if (a == null) {
+            return; // late: its attempt has ended, and nothing of it may pass for another's
+        }
+        if (news instanceof EngineNews.Note n) {
+            events.add(new Gateway.Note(a.key.request(), a.key.attempt(), a.engine, n.kind(), n.value()));
+        } else if (news instanceof EngineNews.Done d) {
+            done(a, d);
+        } else if (news instanceof EngineNews.Page p && a.done()) {
+            a.add(p.number(), p.page());
+            serveIfWhole(a);
+        } else if (news instanceof EngineNews.Full f) {
+            a.load = f.load();
+            end(a, Outcome.FULL);
+        } else if (news instanceof EngineNews.Past p) {
+            a.load = p.load();
+            end(a, Outcome.MOOT);
+        } else if (news instanceof EngineNews.Broke b) {
+            a.load = b.load().isEmpty() ? a.load : b.load();
+            if (a.done()) {
+                effects.add(new Effect.Release(l.id, news.id()));
+            }
+            end(a, Outcome.ERROR); // also where a page is lost: the query ran
+        }
+    }
+
+    private void done(Attempt a, EngineNews.Done d) {
+        if (a.done() || a.givenUp != null && d.pages() > 1) {
+            return; // said twice; or given up meanwhile, and its further pages with it
+        }
+        a.load = d.load();
+        a.begin(d.pages(), d.page());
+        for (int p = 1; p < d.pages(); p++) {
+            effects.add(new Effect.ReadPage(a.link.id, d.id(), p));
+        }
+        serveIfWhole(a);
+    }
+
+    private void serveIfWhole(Attempt a) {
+        if (!a.whole()) {
+            return;
+        }
+        if (a.pageCount() > 1) {
+            effects.add(new Effect.Release(a.link.id, a.request.query.txn()));
+        }
+        byte[] result = a.result();
+        if (result.length > MOST_BYTES) {
+            end(a, Outcome.ERROR);
+            return;
+        }
+        answer(a.request, new Reply.Served(result));
+        end(a, Outcome.OK);
+    }
+
+    // ---- links -------------------------------------------------------------------------------------------
+
+    /** The least used link that may carry this request, or a new one; null where the engine has enough of them. */
+    private Link link(Fleet.Engine e, String txn) {
+        Link best = null;
+        for (Link l : e.links) {
+            boolean usable = !l.suspect && l.open.size() < site.streams() && !l.open.containsKey(txn)
+                    && !l.abandoned.contains(txn);
+            if (usable && (best == null || l.open.size() < best.open.size())) {
+                best = l;
+            }
+        }
+        if (best == null && e.links.size() < MOST_LINKS) {
+            best = new Link(++serial, e, now);
+            e.links.add(best);
+            links.put(best.id, best);
+            effects.add(new Effect.OpenLink(best.id, e.listed.address()));
+            startTimer(new TimerKey.Connect(best.id), Math.max(LEAST_CONNECT,
+                    site.module().limits().connectTimeout()));
+        }
+        if (best != null) {
+            effects.add(new Effect.StopTimer(new TimerKey.Idle(best.id)));
+        }
+        return best;
+    }
+
+    private void linkUp(Link l) {
+        if (l != null) {
+            l.up = true;
+            l.heardAt = now;
+            effects.add(new Effect.StopTimer(new TimerKey.Connect(l.id)));
+            List.copyOf(l.open.values()).forEach(this::write);
+            l.probes.forEach(tag -> effects.add(new Effect.Probe(l.id, tag)));
+            rest(l);
+        }
+    }
+
+    /** Each attempt ends by its proof: nothing written never ran, all else may have run. */
+    private void linkDown(Link l) {
+        if (l == null) {
+            return;
+        }
+        links.remove(l.id);
+        l.engine.links.remove(l);
+        effects.add(new Effect.StopTimer(new TimerKey.Connect(l.id)));
+        effects.add(new Effect.StopTimer(new TimerKey.Idle(l.id)));
+        for (Attempt a : List.copyOf(l.open.values())) {
+            boolean neverRan = a.passage.revoke();
+            end(a, neverRan ? Outcome.CONNECT_FAILED : a.givenUp != null ? a.givenUp
+                    : a.done() ? Outcome.ERROR : Outcome.RESET);
+        }
+        List.copyOf(l.probes).forEach(tag -> probed(tag, false, List.of()));
+        fleet.tidy();
+    }
+
+    private void drop(Link l, String why) {
+        effects.add(new Effect.CloseLink(l.id, why));
+        linkDown(l);
+    }
+
+    /** A link with nothing open waits for the next send for a while, or closes where none will come. */
+    private void rest(Link l) {
+        if (!l.idle() || !links.containsKey(l.id)) {
+            return;
+        }
+        if (l.suspect || !l.engine.ready()) {
+            drop(l, "no longer used");
+        } else {
+            startTimer(new TimerKey.Idle(l.id), IDLE_SHARE * site.idleMs());
+        }
+    }
+
+    private void probe(Fleet.Engine e) {
+        Link l = e == null ? null : link(e, "");
+        String tag = "p" + ++serial;
+        if (l == null) {
+            return;
+        }
+        l.probes.add(tag);
+        probes.put(tag, l);
+        startTimer(new TimerKey.Probe(tag), PROBE);
+        if (l.up) {
+            effects.add(new Effect.Probe(l.id, tag));
+        }
+    }
+
+    private void probed(String tag, boolean fit, List<Double> load) {
+        Link l = probes.remove(tag);
+        if (l != null) {
+            l.probes.remove(tag);
+            effects.add(new Effect.StopTimer(new TimerKey.Probe(tag)));
+            events.add(new Gateway.Probed(l.engine.number, fit, 0, load));
+            rest(l);
+        }
+    }
+
+    // ---- the list of engines -----------------------------------------------------------------------------
+
+    private void changes(Input.Changes x) {
+        if (x.serial() != poll) {
+            return;
+        }
+        effects.add(new Effect.StopTimer(new TimerKey.Poll(poll)));
+        for (FleetEvent e : x.events()) {
+            if (e.seq() > seq) { // told before
+                events.add(fleet.take(e));
+            }
+        }
+        seq = Math.max(seq, x.seq());
+        fleet.all().forEach(this::review);
+        fleet.tidy();
+        ask();
+    }
+
+    /** After news of an engine: nothing goes out to one that is not ready, and old processes' links end. */
+    private void review(Fleet.Engine e) {
+        for (Link l : List.copyOf(e.links)) {
+            if (e.ready() && l.dialledAt < e.listed.startedAt()) {
+                drop(l, "to a process that has ended");
+            } else if (!e.ready() && !l.up) {
+                drop(l, "its engine takes nothing new"); // a connect must not outlive the grace
+            } else if (!e.ready()) {
+                for (Attempt a : List.copyOf(l.open.values())) {
+                    if (a.passage.revoke()) { // still queued: it must not go out late
+                        end(a, Outcome.CONNECT_FAILED);
+                    }
+                }
+                rest(l);
+            }
+        }
+    }
+
+    private void ask() {
+        poll = ++serial;
+        effects.add(new Effect.Poll(poll, seq, POLL));
+        startTimer(new TimerKey.Poll(poll), POLL + POLL_SLACK);
+    }
+
+    private void pollFailed(String cause) {
+        effects.add(new Effect.Log("change log: " + cause));
+        effects.add(new Effect.StopTimer(new TimerKey.Poll(poll)));
+        effects.add(new Effect.DropPoll());
+        poll = 0;
+        startTimer(new TimerKey.PollAgain(), POLL_PAUSE);
+    }
+
+    // ---- timers ------------------------------------------------------------------------------------------
+
+    private void startTimer(TimerKey key, double delay) {
+        effects.add(new Effect.StartTimer(key, Math.max(0, delay)));
+    }
+
+    private void fired(TimerKey key) {
+        if (key instanceof TimerKey.Module k) {
+            events.add(new Gateway.Timer(k.token()));
+        } else if (key instanceof TimerKey.Attempt k) {
+            Attempt a = attempt(k.key());
+            if (a != null) {
+                giveUp(a, Outcome.TIMEOUT);
+            }
+        } else if (key instanceof TimerKey.GiveUp k) {
+            Attempt a = attempt(k.key());
+            if (a != null && a.outcome == null) {
+                drop(a.link, "it takes no cancel"); // closing gives up all that is open there
+            }
+        } else if (key instanceof TimerKey.Request k) {
+            OpenRequest r = requests.get(k.id());
+            if (r != null && !r.over) { // the module had its time: no request may go without an answer
+                answer(r, new Reply.Failed("out of time"));
+                events.add(new Gateway.Left(r.id));
+            }
+        } else if (key instanceof TimerKey.Connect k && links.containsKey(k.link())) {
+            Link l = links.get(k.link());
+            if (!l.up) {
+                drop(l, "no connection in time");
+            }
+        } else if (key instanceof TimerKey.Idle k && links.containsKey(k.link())) {
+            if (links.get(k.link()).idle()) {
+                drop(links.get(k.link()), "idle");
+            }
+        } else if (key instanceof TimerKey.Probe k) {
+            probed(k.tag(), false, List.of());
+        } else if (key instanceof TimerKey.Poll k && k.serial() == poll) {
+            pollFailed("no answer in time");
+        } else if (key instanceof TimerKey.PollAgain) {
+            ask();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/quincespar/routing/TimerKey.java
@@ -0,0 +1,31 @@
+package quincespar.routing;
+
+/** What a timer is for; each wait has one of its own. */
+public sealed interface TimerKey {
+    /** The module asked to be woken. */
+    record Module(int token, long serial) implements TimerKey { }
+
+    /** A request's client waits no longer. */
+    record Request(long id) implements TimerKey { }
+
+    /** An attempt has had its time. */
+    record Attempt(AttemptKey key) implements TimerKey { }
+
+    /** A cancel ought to be written by now. */
+    record GiveUp(AttemptKey key) implements TimerKey { }
+
+    /** A link ought to be up by now. */
+    record Connect(long link) implements TimerKey { }
+
+    /** A link has carried nothing for a while. */
+    record Idle(long link) implements TimerKey { }
+
+    /** A probe ought to be answered by now. */
+    record Probe(String tag) implements TimerKey { }
+
+    /** The change log ought to have answered by now. */
+    record Poll(long serial) implements TimerKey { }
+
+    /** The pause before the change log is asked again is over. */
+    record PollAgain() implements TimerKey { }
+}
