Send a retry on the link of its cancel; seen: 72 second copies from two links' reading order

A probe logged every further attempt: 461 of 1453 retries after a cancel went to the same engine, on another connection, and the first broken request was one of them. Other retries were ruled out: they go to another engine after the cancel was written. Reducer.link kept away from the link of the cancel; it now stays on it, and a late end that may be the given-up attempt's own gets a cancel before anything else goes out.

--- a/src/main/java/quincespar/routing/Reducer.java
+++ b/src/main/java/quincespar/routing/Reducer.java
@@ -245,10 +245,7 @@
             effects.add(new Effect.Release(a.link.id, a.request.query.txn()));
             end(a, as);
         } else {
-            a.givenUp = as;
-            a.link.abandoned.add(a.request.query.txn());
-            startTimer(new TimerKey.GiveUp(a.key), CANCEL);
-            effects.add(new Effect.Cancel(a.link.id, a.key, a.request.query.txn()));
+            cancel(a, as);
         }
     }
 
@@ -304,10 +301,29 @@
             if (a.done()) {
                 effects.add(new Effect.Release(l.id, news.id()));
             }
-            end(a, Outcome.ERROR); // also where a page is lost: the query ran
+            fail(a); // also where a page is lost: the query ran
+        }
+    }
+
+    /**
+     * An error of an attempt. On a link where the request was given up before, it may be that one's, crossing
+     * its cancel, and then this attempt still runs: it is cancelled too before another goes out.
+     */
+    private void fail(Attempt a) {
+        if (a.link.abandoned.contains(a.request.query.txn())) {
+            cancel(a, Outcome.ERROR);
+        } else {
+            end(a, Outcome.ERROR);
         }
     }
 
+    private void cancel(Attempt a, Outcome as) {
+        a.givenUp = as;
+        a.link.abandoned.add(a.request.query.txn());
+        startTimer(new TimerKey.GiveUp(a.key), CANCEL);
+        effects.add(new Effect.Cancel(a.link.id, a.key, a.request.query.txn()));
+    }
+
     private void done(Attempt a, EngineNews.Done d) {
         if (a.done() || a.givenUp != null && d.pages() > 1) {
             return; // said twice; or given up meanwhile, and its further pages with it
@@ -329,22 +345,31 @@
         }
         byte[] result = a.result();
         if (result.length > MOST_BYTES) {
-            end(a, Outcome.ERROR);
+            fail(a);
             return;
         }
+        if (a.link.abandoned.contains(a.request.query.txn())) { // it may be the answer to the one given up
+            effects.add(new Effect.Cancel(a.link.id, a.key, a.request.query.txn()));
+        }
         answer(a.request, new Reply.Served(result));
         end(a, Outcome.OK);
     }
 
     // ---- links -------------------------------------------------------------------------------------------
 
-    /** The least used link that may carry this request, or a new one; null where the engine has enough of them. */
+    /**
+     * The least used link that may carry this request, or a new one; null where the engine has enough of them.
+     * An engine reads its connections in any order: sent on another than its cancel, a request given up there
+     * could come in before that cancel and be a second copy. So it stays on that link.
+     */
     private Link link(Fleet.Engine e, String txn) {
         Link best = null;
         for (Link l : e.links) {
-            boolean usable = !l.suspect && l.open.size() < site.streams() && !l.open.containsKey(txn)
-                    && !l.abandoned.contains(txn);
-            if (usable && (best == null || l.open.size() < best.open.size())) {
+            boolean usable = l.open.size() < site.streams() && !l.open.containsKey(txn);
+            if (usable && l.abandoned.contains(txn)) {
+                return l;
+            }
+            if (usable && !l.suspect && (best == null || l.open.size() < best.open.size())) {
                 best = l;
             }
         }
