Warm up before health is good; count promised attempts only where they are rationed

Seen: with the first requests the one core was full for seconds (interpreter 117 and compiler 58 of 200 ticks at 2 s, read per thread) and up to 283 answers came late, all from the first second. A profile named Brain.cut, which scanned all queries for a budget that is not set here; it now looks first. Still broken: 8 second copies, 40 late answers while the core is full later on.

--- a/src/main/java/quincespar/decision/Brain.java
+++ b/src/main/java/quincespar/decision/Brain.java
@@ -752,12 +752,9 @@
     private void cut(Attempt a, double credit) {
         Query q = a.query;
         boolean useful = now + expected(q) < q.deadline;
-        // work cut for a resend that the budget then does not allow would be thrown away
-        long promised = queries.values().stream().filter(x -> !x.over && x.sends > 0 && (x.type != null
-                || x.attempts.get(x.sends - 1).cancelled)).count();
         if (a.cancelled || q.over || q.streaming || !set.limits().cancel() || !useful || credit < 1
                 || q.sends >= set.limits().maxAttempts() || q.spec.effect() != Effect.SAFE
-                || !budget(promised)) {
+                || !budget(promised())) {
             return;
         }
         kinds[q.cls * 2].credit = Math.max(0, credit - 1);
@@ -765,6 +762,12 @@
         out.add(new Cancel(q.id, a.number));
     }
 
+    /** Further attempts that are due already: work cut for one that the budget then forbids is thrown away. */
+    private long promised() {
+        return Double.isNaN(set.rules().budgetSpan()) ? 0 : queries.values().stream().filter(x -> !x.over
+                && x.sends > 0 && (x.type != null || x.attempts.get(x.sends - 1).cancelled)).count();
+    }
+
     private void noted(Note e) {
         Query q = queries.get(e.id());
         if (q != null && e.attempt() >= 0 && e.attempt() < q.attempts.size() && e.value() > 0
--- a/src/main/java/quincespar/program/FrontEnd.java
+++ b/src/main/java/quincespar/program/FrontEnd.java
@@ -47,6 +47,7 @@
 
     /** Serves until told to stop and all that was taken is answered. */
     void run() throws InterruptedException {
+        new Warmup(configuration, front).run();
         perform(reducer.start(clock.now(), configuration.known().seq(), configuration.known().events()));
         listener.start(front::accept);
         lifecycle.enter(Phase.SERVING);
--- a/src/main/java/quincespar/program/ThriftFront.java
+++ b/src/main/java/quincespar/program/ThriftFront.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import java.util.regex.Pattern;
 import quincespar.decision.Gateway;
 import quincespar.protocol.MalformedException;
 import quincespar.protocol.StatementScan;
@@ -28,6 +29,7 @@
 
 /** The clients' protocol: Thrift in frames. One session for each connection reads it and words the replies. */
 final class ThriftFront implements Front {
+    private static final Pattern TXN = Pattern.compile("[0-9a-fA-F]{16}");
     private static final int MOST_OPEN = 32;
     /** All open answers of a connection at their longest: a slow reader may lag, but not hold more than this. */
     private static final int OUTBOX = MOST_OPEN * 50_000;
@@ -168,11 +170,16 @@
         }
     }
 
+    /** A call's fields as a query, as a session makes it. */
+    Query query(byte[] frame) {
+        return query((Message.Call) FrontCodec.read(frame));
+    }
+
     /** A call's fields as a query; throws {@link MalformedException} by the name of a field that can't be used. */
     private Query query(Message.Call c) {
         Map<String, String> f = c.fields();
         String txn = f.getOrDefault("txn", "");
-        if (!txn.matches("[0-9a-fA-F]{16}")) {
+        if (!TXN.matcher(txn).matches()) {
             throw new MalformedException("field txn is not 16 hex digits");
         }
         Integer cls = classes.get(f.getOrDefault("verb", ""));
@@ -187,14 +194,13 @@
         if (!(limit > 0)) {
             throw new MalformedException("field limit is missing or not above 0");
         }
-        String statement;
         try {
-            statement = StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(c.body())).toString();
+            StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(c.body()));
         } catch (CharacterCodingException e) {
             throw new MalformedException("the statement is not UTF-8");
         }
         return new Query(txn, cls, tenant, limit, "1".equals(f.get("second")), number(f, "cpu", Double.NaN),
-                number(f, "heap_mb", 0), StatementScan.group(statement), c.body());
+                number(f, "heap_mb", 0), StatementScan.group(c.body()), c.body());
     }
 
     private static double number(Map<String, String> fields, String name, double absent) {
--- /dev/null
+++ b/src/main/java/quincespar/program/Warmup.java
@@ -0,0 +1,97 @@
+package quincespar.program;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Deque;
+import java.util.List;
+import java.util.Map;
+import quincespar.decision.Brain;
+import quincespar.decision.Gateway.ClassSpec;
+import quincespar.protocol.resp.EngineCodec;
+import quincespar.protocol.resp.RespDecoder;
+import quincespar.protocol.thrift.FrontCodec;
+import quincespar.routing.Caller;
+import quincespar.routing.Effect;
+import quincespar.routing.EngineNews;
+import quincespar.routing.Input;
+import quincespar.routing.Query;
+import quincespar.routing.Reducer;
+import quincespar.routing.TimerKey;
+
+/**
+ * Has the paths of a request compiled before the first one comes. Guards against a start in which the
+ * interpreter fills the one core for seconds and answers are late: requests of each class are run in a time of
+ * their own through a reducer and a module that are thrown away. No socket is touched.
+ */
+final class Warmup {
+    private static final double BUDGET_MS = 1500;
+    private static final int LEAST = 500, MOST = 6000;
+    private static final int SERVICE_MS = 40;
+    private static final byte[] STATEMENT = ("SELECT o.item, sum(o.paid) -- 'by' day\nFROM sales_1.orders o JOIN"
+            + " staging.days d ON d.id = o.day WHERE o.shop = 'T2_5.x' GROUP BY o.item\n")
+            .getBytes(StandardCharsets.US_ASCII);
+
+    private record Due(double at, Input input) { }
+
+    private final Configuration configuration;
+    private final ThriftFront front;
+    private final Deque<Due> answers = new ArrayDeque<>();
+    private final List<Due> timers = new ArrayList<>();
+    private final List<Input> inputs = new ArrayList<>();
+    private double now;
+
+    Warmup(Configuration configuration, ThriftFront front) {
+        this.configuration = configuration;
+        this.front = front;
+    }
+
+    void run() {
+        Reducer scratch = new Reducer(configuration.site(),
+                new Brain(configuration.site().module(), configuration.seed()));
+        long until = System.nanoTime() + (long) (BUDGET_MS * 1e6);
+        now = System.currentTimeMillis();
+        follow(scratch.start(now, configuration.known().seq(), configuration.known().events()));
+        List<ClassSpec> classes = configuration.site().module().classes();
+        for (int i = 0; i < MOST && (i < LEAST || System.nanoTime() < until); i++) {
+            now++;
+            inputs.add(new Input.Asked(new Caller(1, i), query(i, classes.get(i % classes.size())), now));
+            while (!answers.isEmpty() && answers.peek().at() <= now) {
+                inputs.add(answers.poll().input());
+            }
+            timers.stream().filter(t -> t.at() <= now).forEach(t -> inputs.add(t.input()));
+            timers.removeIf(t -> t.at() <= now);
+            List<Input> batch = List.copyOf(inputs);
+            inputs.clear();
+            follow(scratch.step(now, batch));
+        }
+    }
+
+    private Query query(int i, ClassSpec spec) {
+        String tenant = configuration.site().module().tenants().stream().findFirst().map(t -> t.name()).orElse("");
+        byte[] frame = FrontCodec.call(i, Map.of("verb", spec.name(), "txn", String.format("%016x", i), "limit",
+                Long.toString((long) spec.deadline()), "team", tenant, "cpu", Double.toString(spec.aim() / 4),
+                "heap_mb", "64"), STATEMENT);
+        return front.query(Arrays.copyOfRange(frame, 4, frame.length));
+    }
+
+    private void follow(List<Effect> effects) {
+        for (Effect effect : effects) {
+            if (effect instanceof Effect.OpenLink e) {
+                inputs.add(new Input.LinkUp(e.link()));
+            } else if (effect instanceof Effect.Send e) {
+                byte[] command = EngineCodec.serve(e.txn(), e.queue(), e.budgetMs(), e.statement());
+                new RespDecoder().feed(command, command.length, EngineCodec::answer);
+                answers.add(new Due(now + SERVICE_MS, new Input.Said(e.link(), new EngineNews.Done(e.txn(), 2,
+                        STATEMENT, List.of()))));
+            } else if (effect instanceof Effect.ReadPage e) {
+                inputs.add(new Input.Said(e.link(), new EngineNews.Page(e.txn(), e.page(), STATEMENT)));
+            } else if (effect instanceof Effect.Cancel e) {
+                inputs.add(new Input.CancelWritten(e.key()));
+            } else if (effect instanceof Effect.StartTimer e && e.key() instanceof TimerKey.Module) {
+                timers.add(new Due(now + e.delayMs(), new Input.TimerFired(e.key())));
+            }
+        }
+    }
+}
--- a/src/main/java/quincespar/protocol/StatementScan.java
+++ b/src/main/java/quincespar/protocol/StatementScan.java
@@ -1,5 +1,6 @@
 package quincespar.protocol;
 
+import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 import java.util.Set;
 
@@ -19,9 +20,9 @@
         this.s = s;
     }
 
-    /** The group of tables, or 0 where none is named. */
-    public static int group(String statement) {
-        return new StatementScan(statement).scan();
+    /** The group of tables, or 0 where none is named. Bytes of UTF-8 beyond ASCII count as letters. */
+    public static int group(byte[] statement) {
+        return new StatementScan(new String(statement, StandardCharsets.ISO_8859_1)).scan();
     }
 
     private int scan() {
@@ -31,8 +32,8 @@
             if (skipped(c)) {
                 continue;
             }
-            if (c == '"' || c == '`' || c == '[' || Character.isLetter(c) || c == '_') {
-                boolean plain = Character.isLetter(c) || c == '_';
+            if (c == '"' || c == '`' || c == '[' || letter(c)) {
+                boolean plain = letter(c);
                 String word = plain ? word() : quoted(c == '[' ? ']' : c);
                 if (plain && BEFORE_TABLE.contains(word.toLowerCase(Locale.ROOT)) && !dotNext()) {
                     tableNext = true;
@@ -40,7 +41,7 @@
                     name(word, tableNext);
                     tableNext = false;
                 }
-            } else if (Character.isDigit(c)) {
+            } else if (digit(c)) {
                 word();
             } else {
                 at++;
@@ -51,7 +52,7 @@
 
     /** Steps over what can hold no name: white space, a string, a comment. */
     private boolean skipped(char c) {
-        if (Character.isWhitespace(c)) {
+        if (c <= ' ') {
             at++;
         } else if (c == '\'') {
             quoted('\'');
@@ -71,13 +72,20 @@
 
     private String word() {
         int from = at;
-        while (at < s.length() && (Character.isLetterOrDigit(s.charAt(at)) || s.charAt(at) == '_'
-                || s.charAt(at) == '$')) {
+        while (at < s.length() && (letter(s.charAt(at)) || digit(s.charAt(at)) || s.charAt(at) == '$')) {
             at++;
         }
         return s.substring(from, at);
     }
 
+    private static boolean letter(char c) {
+        return c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c == '_' || c >= 0x80;
+    }
+
+    private static boolean digit(char c) {
+        return c >= '0' && c <= '9';
+    }
+
     /** What stands between quotes; a doubled one is part of it. */
     private String quoted(char quote) {
         StringBuilder out = new StringBuilder();
@@ -121,7 +129,7 @@
             return -1;
         }
         for (int i = line + 1; i < schema.length(); i++) {
-            if (schema.charAt(i) < '0' || schema.charAt(i) > '9') {
+            if (!digit(schema.charAt(i))) {
                 return -1;
             }
         }
--- a/src/main/java/quincespar/protocol/thrift/FrontCodec.java
+++ b/src/main/java/quincespar/protocol/thrift/FrontCodec.java
@@ -207,6 +207,15 @@
         return out.frame();
     }
 
+    /** The frame of a {@code call}, as a client sends it. */
+    public static byte[] call(int seqid, Map<String, String> fields, byte[] body) {
+        Out out = new Out(CALL, "call", seqid);
+        out.fields(1, fields);
+        out.field(STRING, 2);
+        out.bytes(body);
+        return out.frame();
+    }
+
     /** The frame of a {@code health} call, for the command that asks a running front end. */
     public static byte[] askHealth(int seqid) {
         Out out = new Out(CALL, "health", seqid);
--- a/src/main/java/quincespar/routing/Reducer.java
+++ b/src/main/java/quincespar/routing/Reducer.java
@@ -26,6 +26,7 @@
     private static final double CANCEL = 150;
     /** Links are closed here well before their engines close them, so that no send meets such a close. */
     private static final double IDLE_SHARE = 0.6;
+    private static final double SUSPECT = 2000;
     private static final int MOST_LINKS = 8;
     /** A poll is shorter than the protocol allows: one lost in silence is then noticed within the 7 s. */
     private static final long POLL = 2000;
@@ -426,11 +427,8 @@
         if (!l.idle() || !links.containsKey(l.id)) {
             return;
         }
-        if (l.suspect || !l.engine.ready()) {
-            drop(l, "no longer used");
-        } else {
-            startTimer(new TimerKey.Idle(l.id), IDLE_SHARE * site.idleMs());
-        }
+        // a suspect one stays for a retry of what was cancelled there, which must come in behind its cancel
+        startTimer(new TimerKey.Idle(l.id), l.suspect ? SUSPECT : IDLE_SHARE * site.idleMs());
     }
 
     private void probe(Fleet.Engine e) {
