--- a/src/main/java/quincespar/program/Counters.java
+++ b/src/main/java/quincespar/program/Counters.java
@@ -1,7 +1,9 @@
 package quincespar.program;
 
+import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.atomic.AtomicLongArray;
 import quincespar.routing.Effect;
 import quincespar.routing.EngineNews;
 import quincespar.routing.Input;
@@ -9,58 +11,67 @@
 
 /** Counts what is taken in, sent and answered, by looking at what passes the reducer. */
 final class Counters {
-    private final Map<String, Long> counts = new TreeMap<>();
-
-    synchronized void count(String name) {
-        counts.merge(name, 1L, Long::sum);
+    /** What is counted; the names are printed in lower case with a point for the underscore. */
+    enum Count {
+        REQUESTS_TAKEN, REQUESTS_CANCELLED, ANSWERS_SERVED, ANSWERS_REFUSED, ANSWERS_FAILED, ATTEMPTS_SENT,
+        ATTEMPTS_CANCELLED, ENGINES_DONE, ENGINES_PAGE, ENGINES_FULL, ENGINES_BROKE, ENGINES_PAST, ENGINES_NOTE,
+        PROBES_SENT, PROBES_ANSWERED, PAGES_ASKED, LINKS_OPENED, LINKS_CLOSED, CHANGES_QUIET, CHANGES_NEWS,
+        CHANGES_FAILED, ERRORS_REDUCER
     }
 
-    /** Keeps the largest value seen. */
-    synchronized void peak(String name, long value) {
-        counts.merge(name, value, Math::max);
+    private final AtomicLongArray counts = new AtomicLongArray(Count.values().length);
+
+    void count(Count c) {
+        counts.incrementAndGet(c.ordinal());
     }
 
     void taken(Input i) {
         if (i instanceof Input.Asked) {
-            count("requests.taken");
+            count(Count.REQUESTS_TAKEN);
         } else if (i instanceof Input.Withdrawn) {
-            count("requests.cancelled");
-        } else if (i instanceof Input.Said s && !(s.news() instanceof EngineNews.Note)) {
-            count("engines." + s.news().getClass().getSimpleName().toLowerCase(java.util.Locale.ROOT));
+            count(Count.REQUESTS_CANCELLED);
+        } else if (i instanceof Input.Said s) {
+            count(said(s.news()));
         } else if (i instanceof Input.LinkDown) {
-            count("links.closed");
+            count(Count.LINKS_CLOSED);
         } else if (i instanceof Input.LinkUp) {
-            count("links.opened");
+            count(Count.LINKS_OPENED);
         } else if (i instanceof Input.Changes c) {
-            count(c.events().isEmpty() ? "changes.quiet" : "changes.news");
+            count(c.events().isEmpty() ? Count.CHANGES_QUIET : Count.CHANGES_NEWS);
         } else if (i instanceof Input.ChangesFailed) {
-            count("changes.failed");
+            count(Count.CHANGES_FAILED);
         }
     }
 
+    private static Count said(EngineNews news) {
+        return news instanceof EngineNews.Done ? Count.ENGINES_DONE
+                : news instanceof EngineNews.Page ? Count.ENGINES_PAGE
+                : news instanceof EngineNews.Note ? Count.ENGINES_NOTE
+                : news instanceof EngineNews.Full ? Count.ENGINES_FULL
+                : news instanceof EngineNews.Broke ? Count.ENGINES_BROKE
+                : news instanceof EngineNews.Past ? Count.ENGINES_PAST : Count.PROBES_ANSWERED;
+    }
+
     void done(Effect e) {
         if (e instanceof Effect.Send) {
-            count("attempts.sent");
+            count(Count.ATTEMPTS_SENT);
         } else if (e instanceof Effect.Cancel) {
-            count("attempts.cancelled");
+            count(Count.ATTEMPTS_CANCELLED);
         } else if (e instanceof Effect.ReadPage) {
-            count("pages.asked");
+            count(Count.PAGES_ASKED);
         } else if (e instanceof Effect.Probe) {
-            count("probes.sent");
+            count(Count.PROBES_SENT);
         } else if (e instanceof Effect.Answer a) {
-            count(a.reply() instanceof Reply.Served ? "answers.served"
-                    : a.reply() instanceof Reply.Refused ? "answers.refused" : "answers.failed");
+            count(a.reply() instanceof Reply.Served ? Count.ANSWERS_SERVED
+                    : a.reply() instanceof Reply.Refused ? Count.ANSWERS_REFUSED : Count.ANSWERS_FAILED);
         }
     }
 
-    synchronized Map<String, String> all() {
+    Map<String, String> all() {
         Map<String, String> out = new TreeMap<>();
-        counts.forEach((k, v) -> out.put(k, Long.toString(v)));
+        for (Count c : Count.values()) {
+            out.put(c.name().toLowerCase(Locale.ROOT).replace('_', '.'), Long.toString(counts.get(c.ordinal())));
+        }
         return out;
     }
-
-    @Override
-    public String toString() {
-        return all().toString();
-    }
 }
--- a/src/main/java/quincespar/program/FrontEnd.java
+++ b/src/main/java/quincespar/program/FrontEnd.java
@@ -93,7 +93,7 @@
         } catch (RuntimeException e) { // nothing that comes from a peer may end the program
             System.err.println(configuration.name() + ": in the reducer:");
             e.printStackTrace();
-            counters.count("errors.reducer");
+            counters.count(Counters.Count.ERRORS_REDUCER);
         }
     }
 
--- a/src/main/java/quincespar/program/Warmup.java
+++ b/src/main/java/quincespar/program/Warmup.java
@@ -89,7 +89,9 @@
                 inputs.add(new Input.Said(e.link(), new EngineNews.Page(e.txn(), e.page(), STATEMENT)));
             } else if (effect instanceof Effect.Cancel e) {
                 inputs.add(new Input.CancelWritten(e.key()));
-            } else if (effect instanceof Effect.StartTimer e && e.key() instanceof TimerKey.Module) {
+            } else if (effect instanceof Effect.StartTimer e
+                    && (e.key() instanceof TimerKey.Module
+                    || e.key() instanceof TimerKey.Tick)) {
                 timers.add(new Due(now + e.delayMs(), new Input.TimerFired(e.key())));
             }
         }
--- a/src/main/java/quincespar/routing/Reducer.java
+++ b/src/main/java/quincespar/routing/Reducer.java
@@ -23,7 +23,7 @@
     private static final double LEAST_CONNECT = 50;
     private static final double PROBE = 250;
     /** How long a cancel may wait in an outbox before its link is taken for stuck. */
-    private static final double CANCEL = 150;
+    private static final double CANCEL = 1000;
     /** Links are closed here well before their engines close them, so that no send meets such a close. */
     private static final double IDLE_SHARE = 0.6;
     private static final double SUSPECT = 2000;
@@ -47,6 +47,8 @@
     private long serial;
     private long poll;
     private long seq;
+    private double decidedAt;
+    private boolean tickAsked;
 
     /** A reducer round one module. */
     public Reducer(Site site, Gateway gateway) {
@@ -76,7 +78,20 @@
         return callers.size();
     }
 
+    /**
+     * Lets the module decide, at most once a tick as in the simulator: it looks at all that it holds each time,
+     * and asked at each input it would fill the one core, so that answers come late.
+     */
     private List<Effect> decide() {
+        double wait = decidedAt + site.module().tick() - now;
+        if (!events.isEmpty() && wait > 0) {
+            if (!tickAsked) {
+                tickAsked = true;
+                startTimer(new TimerKey.Tick(), wait);
+            }
+            return taken();
+        }
+        decidedAt = events.isEmpty() ? decidedAt : now;
         while (!events.isEmpty()) { // an attempt that ends at once is an event in its turn
             List<Event> batch = events;
             events = new ArrayList<>();
@@ -84,6 +99,10 @@
                 carryOut(a);
             }
         }
+        return taken();
+    }
+
+    private List<Effect> taken() {
         List<Effect> out = effects;
         effects = new ArrayList<>();
         return out;
@@ -512,7 +531,9 @@
     }
 
     private void fired(TimerKey key) {
-        if (key instanceof TimerKey.Module k) {
+        if (key instanceof TimerKey.Tick) {
+            tickAsked = false;
+        } else if (key instanceof TimerKey.Module k) {
             events.add(new Gateway.Timer(k.token()));
         } else if (key instanceof TimerKey.Attempt k) {
             Attempt a = attempt(k.key());
--- a/src/main/java/quincespar/routing/TimerKey.java
+++ b/src/main/java/quincespar/routing/TimerKey.java
@@ -2,6 +2,9 @@
 
 /** What a timer is for; each wait has one of its own. */
 public sealed interface TimerKey {
+    /** The module may decide again. */
+    record Tick() implements TimerKey { }
+
     /** The module asked to be woken. */
     record Module(int token, long serial) implements TimerKey { }
 
