--- a/src/main/java/quincespar/decision/Brain.java
+++ b/src/main/java/quincespar/decision/Brain.java
@@ -762,7 +762,7 @@
         out.add(new Cancel(q.id, a.number));
     }
 
-    /** Further attempts that are due already: work cut for one that the budget then forbids is thrown away. */
+    /** Further attempts due already: work cut for one that the budget then forbids is thrown away. */
     private long promised() {
         return Double.isNaN(set.rules().budgetSpan()) ? 0 : queries.values().stream().filter(x -> !x.over
                 && x.sends > 0 && (x.type != null || x.attempts.get(x.sends - 1).cancelled)).count();
--- a/src/main/java/quincespar/program/EngineLinks.java
+++ b/src/main/java/quincespar/program/EngineLinks.java
@@ -1,5 +1,6 @@
 package quincespar.program;
 
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -33,8 +34,12 @@
     }
 
     void open(Effect.OpenLink e) {
-        connections.put(e.link(), Connection.dial(Configuration.address(e.address()), "engine-" + e.link(), OUTBOX,
-                new Receiver(e.link())));
+        try {
+            InetSocketAddress address = Configuration.address(e.address());
+            connections.put(e.link(), Connection.dial(address, "engine-" + e.link(), OUTBOX, new Receiver(e.link())));
+        } catch (IllegalArgumentException x) { // listed at no address: as good as refused
+            post.accept(new Input.LinkDown(e.link(), x.getMessage()));
+        }
     }
 
     void close(Effect.CloseLink e) {
--- a/src/main/java/quincespar/program/FrontEnd.java
+++ b/src/main/java/quincespar/program/FrontEnd.java
@@ -91,19 +91,27 @@
             batch.forEach(counters::taken);
             perform(reducer.step(clock.now(), batch));
         } catch (RuntimeException e) { // nothing that comes from a peer may end the program
-            System.err.println(configuration.name() + ": in the reducer:");
-            e.printStackTrace();
-            counters.count(Counters.Count.ERRORS_REDUCER);
+            uncaught("in the reducer", e);
         }
     }
 
     private void perform(List<Effect> effects) {
         for (Effect e : effects) {
             counters.done(e);
-            perform(e);
+            try {
+                perform(e);
+            } catch (RuntimeException x) { // one effect that fails must not keep back the others of its step
+                uncaught("performing " + e, x);
+            }
         }
     }
 
+    private void uncaught(String where, RuntimeException e) {
+        System.err.println(configuration.name() + ": " + where + ":");
+        e.printStackTrace();
+        counters.count(Counters.Count.ERRORS_UNCAUGHT);
+    }
+
     private void perform(Effect effect) {
         if (effect instanceof Effect.StartTimer e) {
             timers.start(e.key(), e.delayMs());
--- a/src/main/java/quincespar/program/Main.java
+++ b/src/main/java/quincespar/program/Main.java
@@ -5,6 +5,7 @@
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.IVersionProvider;
+import quincespar.protocol.thrift.FrontCodec;
 import quincespar.simulator.WireException;
 import quincespar.simulator.WireHost;
 
@@ -68,6 +69,15 @@
         return 0;
     }
 
+    @Command(name = "health", description = "Ask a running front end whether it can serve, and print its counters;"
+            + " exit code 1 where it can't.")
+    int health(@CommandLine.Parameters(paramLabel = "HOST:PORT") String address) throws IOException {
+        FrontCodec.Answer answer = HealthQuestion.ask(Configuration.address(address));
+        answer.fields().forEach((name, value) -> System.out.println(name + " " + value));
+        System.out.println(answer.good() ? "good" : "not good");
+        return answer.good() ? 0 : 1;
+    }
+
     @Command(name = "version", description = "Print the version.")
     int version() {
         System.out.println(new Version().getVersion()[0]);
--- a/src/main/java/quincespar/protocol/thrift/FrontCodec.java
+++ b/src/main/java/quincespar/protocol/thrift/FrontCodec.java
@@ -164,6 +164,39 @@
         }
     }
 
+    /** An {@code Answer} as a client gets it. */
+    public record Answer(Map<String, String> fields, boolean good) { }
+
+    /** Reads the answer to {@code health}; throws {@link MalformedException} where the frame holds none. */
+    public static Answer readAnswer(byte[] frame) {
+        ByteBuffer in = ByteBuffer.wrap(frame);
+        Map<String, String> fields = Map.of();
+        boolean good = false;
+        try {
+            if (in.getInt() != (VERSION | REPLY)) {
+                throw new MalformedException("not an answer");
+            }
+            text(in);
+            in.getInt();
+            if (in.get() != STRUCT || in.getShort() != 0) {
+                throw new MalformedException("an answer without a result");
+            }
+            for (int type = in.get(); type != STOP; type = in.get()) {
+                int id = in.getShort();
+                if (id == 2 && type == MAP) {
+                    fields = map(in);
+                } else if (id == 3 && type == BOOL) {
+                    good = in.get() != 0;
+                } else {
+                    skip(in, type, 0);
+                }
+            }
+            return new Answer(fields, good);
+        } catch (BufferUnderflowException e) {
+            throw new MalformedException("an answer that ends too early");
+        }
+    }
+
     // ---- writing -----------------------------------------------------------------------------------------
 
     /** The frame of an {@code Answer}. */
--- a/src/main/java/quincespar/transport/Listener.java
+++ b/src/main/java/quincespar/transport/Listener.java
@@ -37,8 +37,8 @@
                 Socket s = socket.accept();
                 s.setTcpNoDelay(true);
                 taker.accept(s);
-            } catch (IOException e) {
-                // out of descriptors, or a client gone before it was accepted: neither may end the listener
+            } catch (IOException | RuntimeException | OutOfMemoryError e) {
+                // out of descriptors or threads, or a client gone before it was accepted: none ends the listener
                 if (!socket.isClosed()) {
                     System.err.println("listener: " + e.getMessage());
                     pause();
--- /dev/null
+++ b/src/test/java/quincespar/LayersTest.java
@@ -0,0 +1,40 @@
+package quincespar;
+
+import static com.tngtech.archunit.library.Architectures.layeredArchitecture;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.lang.syntax.ArchRuleDefinition;
+import org.junit.jupiter.api.Test;
+
+class LayersTest {
+    private final JavaClasses all = new ClassFileImporter().withImportOption(new ImportOption.DoNotIncludeTests())
+            .importPackages("quincespar");
+
+    @Test
+    void dependenciesPointDown() {
+        layeredArchitecture().consideringOnlyDependenciesInLayers()
+                .layer("program").definedBy("quincespar.program..")
+                .layer("simulator").definedBy("quincespar.simulator..")
+                .layer("routing").definedBy("quincespar.routing..")
+                .layer("protocol").definedBy("quincespar.protocol..")
+                .layer("transport").definedBy("quincespar.transport..")
+                .layer("decision").definedBy("quincespar.decision..")
+                .whereLayer("program").mayNotBeAccessedByAnyLayer()
+                .whereLayer("simulator").mayOnlyBeAccessedByLayers("program")
+                .whereLayer("routing").mayOnlyBeAccessedByLayers("program")
+                .whereLayer("protocol").mayOnlyBeAccessedByLayers("program", "routing")
+                .whereLayer("transport").mayOnlyBeAccessedByLayers("program", "routing")
+                .whereLayer("decision").mayOnlyBeAccessedByLayers("program", "routing", "simulator")
+                .check(all);
+    }
+
+    @Test
+    void socketsStayInTheTransport() {
+        ArchRuleDefinition.noClasses().that().resideOutsideOfPackages("quincespar.transport..", "quincespar.program..")
+                .should().dependOnClassesThat().resideInAPackage("java.net..").check(all);
+        ArchRuleDefinition.noClasses().should().dependOnClassesThat()
+                .resideInAnyPackage("java.nio.channels..", "java.net.http..").check(all);
+    }
+}
--- /dev/null
+++ b/src/test/java/quincespar/program/Peers.java
@@ -0,0 +1,190 @@
+package quincespar.program;
+
+import java.io.BufferedInputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import quincespar.protocol.thrift.FrontCodec;
+
+/** Scripted peers on loopback: an engine, a change log, a client. */
+final class Peers {
+    private Peers() { }
+
+    /** What a scripted peer does with one connection. */
+    interface Script {
+        void play(Socket socket) throws IOException;
+    }
+
+    /** Listens on an ephemeral port and plays the script for each connection. */
+    static ServerSocket listen(Script script) throws IOException {
+        ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        thread(() -> {
+            while (true) {
+                Socket s = server.accept();
+                thread(() -> script.play(s));
+            }
+        });
+        return server;
+    }
+
+    private interface Body {
+        void run() throws IOException;
+    }
+
+    private static void thread(Body body) {
+        Thread t = new Thread(() -> {
+            try {
+                body.run();
+            } catch (IOException e) {
+                return; // the peer's end of the story
+            }
+        });
+        t.setDaemon(true);
+        t.start();
+    }
+
+    /** Reads RESP commands; what each is answered with is the test's to say. */
+    static final class Engine {
+        final BlockingQueue<Command> commands = new LinkedBlockingQueue<>();
+        final ServerSocket server = listen(this::play);
+
+        Engine() throws IOException { }
+
+        record Command(List<String> words, Socket from) {
+            String id() {
+                return words.get(1);
+            }
+
+            void answer(String... words) {
+                StringBuilder out = new StringBuilder("*" + words.length + "\r\n");
+                for (String w : words) {
+                    out.append("$" + w.length() + "\r\n" + w + "\r\n");
+                }
+                raw(out.toString());
+            }
+
+            void raw(String text) {
+                try {
+                    from.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+                } catch (IOException e) {
+                    throw new UncheckedIOException(e);
+                }
+            }
+        }
+
+        private void play(Socket s) throws IOException {
+            DataInputStream in = new DataInputStream(new BufferedInputStream(s.getInputStream()));
+            while (true) {
+                List<String> words = new ArrayList<>();
+                int n = Integer.parseInt(line(in).substring(1));
+                for (int i = 0; i < n; i++) {
+                    byte[] word = new byte[Integer.parseInt(line(in).substring(1))];
+                    in.readFully(word);
+                    line(in);
+                    words.add(new String(word, StandardCharsets.UTF_8));
+                }
+                commands.add(new Command(words, s));
+            }
+        }
+
+        /** The next command with this word. */
+        Command next(String word) throws InterruptedException {
+            Command c;
+            do {
+                c = commands.poll(10, TimeUnit.SECONDS);
+            } while (c != null && !c.words().get(0).equals(word));
+            if (c == null) {
+                throw new AssertionError("no " + word + " came");
+            }
+            return c;
+        }
+    }
+
+    /** Answers each question with the next text that the test gives. */
+    static final class Changes {
+        final BlockingQueue<String> answers = new LinkedBlockingQueue<>();
+        final BlockingQueue<String> questions = new LinkedBlockingQueue<>();
+        final ServerSocket server = listen(this::play);
+
+        Changes() throws IOException { }
+
+        private void play(Socket s) throws IOException {
+            DataInputStream in = new DataInputStream(new BufferedInputStream(s.getInputStream()));
+            while (true) {
+                questions.add(line(in));
+                while (!line(in).isEmpty()) {
+                    continue;
+                }
+                try {
+                    byte[] body = answers.take().getBytes(StandardCharsets.US_ASCII);
+                    OutputStream out = s.getOutputStream();
+                    out.write(("HTTP/1.1 200 OK\r\nContent-Length: " + body.length + "\r\n\r\n").getBytes(
+                            StandardCharsets.US_ASCII));
+                    out.write(body);
+                } catch (InterruptedException e) {
+                    return;
+                }
+            }
+        }
+    }
+
+    private static String line(DataInputStream in) throws IOException {
+        StringBuilder out = new StringBuilder();
+        for (int c = in.readUnsignedByte(); c != '\n'; c = in.readUnsignedByte()) {
+            out.append(c == '\r' ? "" : String.valueOf((char) c));
+        }
+        return out.toString();
+    }
+
+    /** A client with one connection. */
+    static final class Client implements AutoCloseable {
+        final Socket socket = new Socket();
+        private final DataOutputStream out;
+        private final DataInputStream in;
+
+        Client(int port) throws IOException {
+            socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+            socket.setSoTimeout(10_000);
+            out = new DataOutputStream(socket.getOutputStream());
+            in = new DataInputStream(socket.getInputStream());
+        }
+
+        void call(int seqid, Map<String, String> fields) throws IOException {
+            out.write(FrontCodec.call(seqid, fields, "SELECT 1 FROM sales_3.t".getBytes(StandardCharsets.UTF_8)));
+        }
+
+        void raw(byte[] bytes) throws IOException {
+            out.write(bytes);
+        }
+
+        boolean healthy() throws IOException {
+            out.write(FrontCodec.askHealth(999));
+            return FrontCodec.readAnswer(frame()).good();
+        }
+
+        /** The next frame; its type is its fourth byte, as text it shows what it holds. */
+        byte[] frame() throws IOException {
+            byte[] all = new byte[in.readInt()];
+            in.readFully(all);
+            return all;
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/quincespar/program/StoriesTest.java
@@ -0,0 +1,181 @@
+package quincespar.program;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.io.EOFException;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.Map;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.TestInstance;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The whole program over loopback against scripted peers, one story for each failure met. */
+@TestInstance(TestInstance.Lifecycle.PER_CLASS)
+@Timeout(60)
+class StoriesTest {
+    private static final Map<String, String> LOOKUP = Map.of("verb", "lookup", "txn", "9b1f03aa5c7e2d41", "limit",
+            "3000", "team", "acme", "cpu", "80.0", "heap_mb", "9");
+
+    private Peers.Engine engine;
+    private Peers.Changes changes;
+    private FrontEnd frontEnd;
+    private Thread running;
+    private int port;
+
+    @BeforeAll
+    void start(@TempDir Path folder) throws Exception {
+        engine = new Peers.Engine();
+        changes = new Peers.Changes();
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            port = free.getLocalPort();
+        }
+        Path file = folder.resolve("config.json");
+        Files.writeString(file, """
+            {"name":"n1","listen":"127.0.0.1:%d","seed":"8c1f30d27a5be964","limits":{"sockets":64},
+             "changelog":"127.0.0.1:%d","known":{"seq":1,"results":[{"seq":1,"fleet":{"revision":1,"complete":true,
+             "members":[{"id":"s-1","host_port":"127.0.0.1:%d","phase":"up","cell":0,"size":4,"up_since_ms":0}]}}]},
+             "settings":{"tick":5,"limits":{"cancelling":true,"maxAttempts":3,"maxStreams":100},
+             "rules":{"drainGrace":1000},"reporting":{"how":"inline","fields":["outstanding"]},
+             "projects":[{"name":"acme","quotaPerS":50,"share":1}],"requestClasses":[
+             {"name":"lookup","slo":2000,"hardLimit":4000,"effect":"safe","points":1}]}}
+            """.formatted(port, changes.server.getLocalPort(), engine.server.getLocalPort()));
+        frontEnd = new FrontEnd(Configuration.read(Map.of("GW_CONFIG", file.toString())));
+        running = new Thread(() -> {
+            try {
+                frontEnd.run();
+            } catch (InterruptedException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        running.start();
+        try (Peers.Client c = new Peers.Client(port)) {
+            while (!c.healthy()) {
+                Thread.onSpinWait();
+            }
+        }
+    }
+
+    /** Last, so that it is a story too: what was taken before the word to stop is answered after it. */
+    @AfterAll
+    void whatWasTakenIsAnsweredBeforeTheEnd() throws Exception {
+        try (Peers.Client c = new Peers.Client(port)) {
+            c.call(1, LOOKUP);
+            Peers.Engine.Command serve = engine.next("serve");
+            Thread leaving = new Thread(() -> {
+                try {
+                    frontEnd.leave();
+                } catch (InterruptedException e) {
+                    throw new IllegalStateException(e);
+                }
+            });
+            leaving.start();
+            while (c.healthy()) {
+                Thread.onSpinWait();
+            }
+            try (Peers.Client late = new Peers.Client(port)) { // clients come for a while yet
+                late.call(1, with("txn", "00000000000000bb"));
+                engine.next("serve").answer("00000000000000bb", "DONE", "count=1", "late\n");
+                assertThat(text(late.frame())).contains("late\n");
+            }
+            serve.answer(serve.id(), "DONE", "count=1", "row\n");
+            assertThat(text(c.frame())).contains("row\n");
+            leaving.join();
+            running.join();
+            assertThatThrownBy(c::frame).isInstanceOf(EOFException.class);
+        }
+    }
+
+    private static Map<String, String> with(String field, String value) {
+        Map<String, String> out = new HashMap<>(LOOKUP);
+        out.put(field, value);
+        return out;
+    }
+
+    private static String text(byte[] frame) {
+        return new String(frame, StandardCharsets.ISO_8859_1);
+    }
+
+    @Test
+    void allPagesAreServedInOrder() throws Exception {
+        try (Peers.Client c = new Peers.Client(port)) {
+            c.call(1, LOOKUP);
+            Peers.Engine.Command serve = engine.next("serve");
+            assertThat(serve.words().get(2)).matches("queue=lookup,budget=\\d+");
+            assertThat(serve.words().get(3)).isEqualTo("SELECT 1 FROM sales_3.t");
+            serve.answer(serve.id(), "TELL", "detail=share,reading=0.5", "");
+            serve.answer(serve.id(), "DONE", "count=3,use=inflight:7", "one\n");
+            engine.next("read").answer(serve.id(), "MORE", "pos=2", "three\n");
+            engine.next("read").answer(serve.id(), "MORE", "pos=1", "two\n");
+            assertThat(text(c.frame())).contains("one\ntwo\nthree\n");
+            assertThat(engine.next("release").id()).isEqualTo(serve.id());
+        }
+    }
+
+    @Test
+    void aClientThatLeavesHasItsAttemptCancelled() throws Exception {
+        try (Peers.Client c = new Peers.Client(port)) {
+            c.call(1, LOOKUP);
+            engine.next("serve");
+        }
+        assertThat(engine.next("cancel").id()).isEqualTo(LOOKUP.get("txn"));
+    }
+
+    @Test
+    void whatCannotBeUsedGetsAnApplicationExceptionAndNothingElseEnds() throws Exception {
+        try (Peers.Client c = new Peers.Client(port)) {
+            for (Map<String, String> wrong : java.util.List.of(with("verb", "odd"), with("team", "odd"),
+                    with("limit", "-1"), with("cpu", "much"), with("txn", "short"))) {
+                c.call(5, wrong);
+                assertThat(c.frame()[3]).isEqualTo((byte) 3);
+            }
+            try (Peers.Client malformed = new Peers.Client(port)) {
+                malformed.raw(new byte[] {0, 0, 0, 4, 1, 2, 3, 4});
+                assertThatThrownBy(malformed::frame).isInstanceOf(IOException.class);
+            }
+            assertThat(c.healthy()).isTrue();
+        }
+    }
+
+    @Test
+    void aMalformedAnswerEndsItsConnectionOnlyAndTheQueryIsTriedAgain() throws Exception {
+        try (Peers.Client c = new Peers.Client(port)) {
+            c.call(1, LOOKUP);
+            engine.next("serve").raw("+nonsense\r\n");
+            Peers.Engine.Command again = engine.next("serve");
+            again.answer(again.id(), "DONE", "count=1", "row\n");
+            assertThat(text(c.frame())).contains("row\n");
+        }
+    }
+
+    @Test
+    void aBadAnswerOfTheChangeLogKeepsTheListAndIsAskedForAgain() throws Exception {
+        changes.answers.add("{\"seq\":");
+        changes.answers.add("{\"seq\":1,\"results\":[]}");
+        for (int i = 0; i < 3; i++) {
+            assertThat(changes.questions.take()).startsWith("GET /changes?since=1&timeout=");
+        }
+        try (Peers.Client c = new Peers.Client(port)) {
+            assertThat(c.healthy()).isTrue();
+        }
+    }
+
+    @Test
+    void aBadConfigurationIsToldInOneLine(@TempDir Path folder) throws IOException {
+        Path file = Files.writeString(folder.resolve("bad.json"), "{\"listen\":\"127.0.0.1:1\"");
+        for (Map<String, String> wrong : java.util.List.of(Map.<String, String>of(),
+                Map.of("GW_CONFIG", folder.resolve("none").toString()), Map.of("GW_CONFIG", file.toString()))) {
+            assertThatThrownBy(() -> Configuration.read(wrong)).isInstanceOf(IllegalArgumentException.class)
+                    .message().hasLineCount(1);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/quincespar/routing/ReducerTest.java
@@ -0,0 +1,237 @@
+package quincespar.routing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import quincespar.decision.Gateway;
+import quincespar.decision.Gateway.Outcome;
+import quincespar.protocol.FleetEvent;
+import quincespar.protocol.FleetEvent.Phase;
+
+/** The rules that the reducer keeps, with a module that does as the test says. */
+class ReducerTest {
+    private static final Caller CALLER = new Caller(1, 1);
+
+    private final List<Gateway.Event> told = new ArrayList<>();
+    private final List<Gateway.Action> plan = new ArrayList<>();
+    private final List<Effect> effects = new ArrayList<>();
+    private Reducer reducer;
+    private int decisions;
+    private double now = 1000;
+
+    @BeforeEach
+    void start() {
+        Map<String, String> pairs = new HashMap<>(Map.of("requestClasses.count", "2", "tick", "5",
+                "rules.drainGrace", "1000"));
+        for (int c = 0; c < 2; c++) {
+            pairs.putAll(Map.of("requestClasses." + c + ".slo", "800", "requestClasses." + c + ".hardLimit", "4000",
+                    "requestClasses." + c + ".effect", c == 0 ? "safe" : "unsafe"));
+        }
+        reducer = new Reducer(Site.of(pairs), (time, events) -> {
+            decisions++;
+            told.addAll(events);
+            List<Gateway.Action> out = List.copyOf(plan);
+            plan.clear();
+            return out;
+        });
+        effects.addAll(reducer.start(now, 1, List.of(fleet(1, Phase.UP, "a", "b"))));
+    }
+
+    private static FleetEvent fleet(long seq, Phase phase, String... ids) {
+        return new FleetEvent(seq, seq, seq == 1, java.util.Arrays.stream(ids).map(id ->
+                new FleetEvent.Member(id, "127.0.0.1:1", "", "", 0, phase, 1, 0)).toList());
+    }
+
+    private void step(Input... inputs) {
+        now += 10;
+        effects.addAll(reducer.step(now, List.of(inputs)));
+    }
+
+    private <T> List<T> of(Class<T> type, List<?> all) {
+        return all.stream().filter(type::isInstance).map(type::cast).toList();
+    }
+
+    private <T> T last(Class<T> type) {
+        List<T> all = of(type, effects);
+        return all.get(all.size() - 1);
+    }
+
+    private long engine(int i) {
+        return of(Gateway.Listed.class, told).get(0).engines().get(i).id();
+    }
+
+    /** Has a request of a class taken and sent to an engine, over a link that is up. */
+    private Effect.Send sent(int cls) {
+        plan.add(new Gateway.Send(requestNumber(), engine(0), 0));
+        step(new Input.Asked(CALLER, new Query("00000000000000aa", cls, 0, 4000, false, 10, 0, 0, new byte[0]), now));
+        if (of(Effect.Send.class, effects).isEmpty()) {
+            step(new Input.LinkUp(last(Effect.OpenLink.class).link()));
+        }
+        return last(Effect.Send.class);
+    }
+
+    private long requestNumber() {
+        return 2; // the first question to the change log took 1
+    }
+
+    private Outcome outcome() {
+        List<Gateway.Ended> ends = of(Gateway.Ended.class, told);
+        return ends.isEmpty() ? null : ends.get(ends.size() - 1).outcome();
+    }
+
+    /** What the transport does when the first byte goes out, seen from here: the leave can't be taken back. */
+    private static void begun(Effect.Send send) {
+        quincespar.transport.PassageAccess.begin(send.passage());
+    }
+
+    private static EngineNews.Done done(Effect.Send s, int pages) {
+        return new EngineNews.Done(s.txn(), pages, new byte[] {'0'}, List.of());
+    }
+
+    private static EngineNews.Page page(Effect.Send s, int number) {
+        return new EngineNews.Page(s.txn(), number, new byte[] {(byte) ('0' + number)});
+    }
+
+    @Test
+    void pagesAreServedInOrderWhenAllAreIn() {
+        Effect.Send s = sent(0);
+        begun(s);
+        step(new Input.Said(s.link(), done(s, 3)));
+        step(new Input.Said(s.link(), page(s, 2)), new Input.Said(s.link(), page(s, 2)));
+        assertThat(of(Effect.Answer.class, effects)).isEmpty();
+        step(new Input.Said(s.link(), page(s, 1)));
+        assertThat(((Reply.Served) last(Effect.Answer.class).reply()).result()).containsExactly('0', '1', '2');
+        assertThat(outcome()).isEqualTo(Outcome.OK);
+    }
+
+    @Test
+    void aLostPageIsAnErrorThatRan() {
+        Effect.Send s = sent(0);
+        begun(s);
+        step(new Input.Said(s.link(), done(s, 2)));
+        step(new Input.LinkDown(s.link(), "reset"));
+        assertThat(of(Effect.Answer.class, effects)).isEmpty();
+        assertThat(outcome()).isEqualTo(Outcome.ERROR);
+    }
+
+    @Test
+    void aResetProvesNothingOnceBytesWentOut() {
+        Effect.Send s = sent(1);
+        begun(s);
+        step(new Input.LinkDown(s.link(), "reset"));
+        assertThat(outcome()).isEqualTo(Outcome.RESET);
+        plan.add(new Gateway.Send(requestNumber(), engine(1), 0));
+        plan.add(new Gateway.Refuse(requestNumber(), 0));
+        step(new Input.TimerFired(new TimerKey.Module(1, 1)));
+        assertThat(of(Effect.Send.class, effects)).hasSize(1); // a load is never sent twice,
+        assertThat(last(Effect.Answer.class).reply()).isInstanceOf(Reply.Failed.class); // nor refused
+    }
+
+    @Test
+    void whatWasNotWrittenNeverRan() {
+        Effect.Send s = sent(1);
+        step(new Input.LinkDown(s.link(), "reset"));
+        assertThat(outcome()).isEqualTo(Outcome.CONNECT_FAILED);
+    }
+
+    @Test
+    void aCancelledAttemptEndsOnlyWhenItsCancelIsWritten() {
+        Effect.Send s = sent(0);
+        begun(s);
+        plan.add(new Gateway.Cancel(requestNumber(), 0));
+        step(new Input.TimerFired(new TimerKey.Module(1, 1)));
+        assertThat(of(Effect.Cancel.class, effects)).hasSize(1);
+        assertThat(outcome()).isNull();
+        step(new Input.CancelWritten(s.key()));
+        assertThat(outcome()).isEqualTo(Outcome.CANCELLED);
+    }
+
+    @Test
+    void aRetryOnTheSameEngineFollowsItsCancelOnTheSameLink() {
+        Effect.Send s = sent(0);
+        begun(s);
+        plan.add(new Gateway.Cancel(requestNumber(), 0));
+        step(new Input.TimerFired(new TimerKey.Module(1, 1)));
+        plan.add(new Gateway.Send(requestNumber(), engine(0), 0));
+        step(new Input.CancelWritten(s.key()));
+        assertThat(last(Effect.Send.class).key().attempt()).isEqualTo(1);
+        assertThat(last(Effect.Send.class).link()).isEqualTo(s.link());
+    }
+
+    @Test
+    void whatIsQueuedForADrainingEngineNeverGoesOut() {
+        Effect.Send s = sent(0);
+        step(new Input.Changes(1, 2, List.of(fleet(2, Phase.DRAINING, "a"))));
+        assertThat(s.passage().revoke()).isTrue();
+        assertThat(outcome()).isEqualTo(Outcome.CONNECT_FAILED);
+    }
+
+    @Test
+    void aConnectIsGivenUpWithItsEngineOrInTime() {
+        plan.add(new Gateway.Send(requestNumber(), engine(0), 0));
+        step(new Input.Asked(CALLER, new Query("00000000000000aa", 0, 0, 4000, false, 10, 0, 0, new byte[0]), now));
+        long link = last(Effect.OpenLink.class).link();
+        step(new Input.TimerFired(new TimerKey.Connect(link)));
+        assertThat(last(Effect.CloseLink.class).link()).isEqualTo(link);
+        assertThat(outcome()).isEqualTo(Outcome.CONNECT_FAILED);
+    }
+
+    @Test
+    void lateBytesOfAnEndedAttemptAreDropped() {
+        Effect.Send s = sent(0);
+        begun(s);
+        plan.add(new Gateway.Refuse(requestNumber(), 0));
+        step(new Input.TimerFired(new TimerKey.Attempt(s.key())));
+        step(new Input.CancelWritten(s.key()));
+        step(new Input.Said(s.link(), done(s, 1)));
+        assertThat(of(Effect.Answer.class, effects)).hasSize(1);
+        assertThat(last(Effect.Answer.class).reply()).isInstanceOf(Reply.Refused.class);
+    }
+
+    @Test
+    void aRequestThatTheModuleForgetsIsFailedInTime() {
+        step(new Input.Asked(CALLER, new Query("00000000000000aa", 0, 0, 4000, false, 10, 0, 0, new byte[0]), now));
+        step(new Input.TimerFired(new TimerKey.Request(requestNumber())));
+        assertThat(last(Effect.Answer.class).reply()).isInstanceOf(Reply.Failed.class);
+        assertThat(of(Gateway.Left.class, told)).hasSize(1);
+        assertThat(reducer.open()).isZero();
+    }
+
+    @Test
+    void clientsThatLeaveAreToldToTheModule() {
+        sent(0);
+        step(new Input.CallerGone(CALLER.connection()));
+        assertThat(of(Gateway.Left.class, told)).hasSize(1);
+        assertThat(reducer.open()).isZero();
+    }
+
+    @Test
+    void theModuleDecidesOnceATick() {
+        step(new Input.Withdrawn(CALLER));
+        int before = decisions;
+        for (int i = 10; i < 13; i++) {
+            effects.addAll(reducer.step(now + i, List.of(new Input.Asked(new Caller(2, i),
+                    new Query("00000000000000aa", 0, 0, 4000, false, 10, 0, 0, new byte[0]), now + i))));
+        }
+        assertThat(decisions).isEqualTo(before + 1);
+        effects.addAll(reducer.step(now + 15, List.of(new Input.TimerFired(new TimerKey.Tick()))));
+        assertThat(decisions).isEqualTo(before + 2);
+        assertThat(of(Gateway.Request.class, told)).hasSize(3);
+    }
+
+    @Test
+    void aSilentChangeLogIsAskedAgainAndTheListKept() {
+        step(new Input.ChangesFailed(1, "status 500"));
+        assertThat(of(Effect.StartTimer.class, effects)).extracting(Effect.StartTimer::key)
+                .contains(new TimerKey.PollAgain());
+        step(new Input.TimerFired(new TimerKey.PollAgain()));
+        assertThat(of(Effect.Poll.class, effects)).extracting(Effect.Poll::since).containsExactly(1L, 1L);
+        step(new Input.HealthAsked(CALLER));
+        assertThat(last(Effect.AnswerHealth.class).canServe()).isTrue();
+    }
+}
