--- a/src/main/java/quincespar/program/ChangeLog.java
+++ b/src/main/java/quincespar/program/ChangeLog.java
@@ -9,12 +9,14 @@
 import quincespar.routing.Effect;
 import quincespar.routing.Input;
 import quincespar.transport.Connection;
+import quincespar.transport.OutboxBound;
 
 /** Asks the change log over HTTP/1.1, on one connection for as long as that lasts. Used by one thread. */
 final class ChangeLog {
     private static final int OUTBOX = 64 * 1024;
     private static final int OK = 200;
 
+    private final OutboxBound bound = new OutboxBound(OUTBOX, OUTBOX);
     private final InetSocketAddress address;
     private final Consumer<Input> post;
     private Exchange current;
@@ -40,7 +42,7 @@
 
     private final class Exchange implements Connection.Handler {
         private final ResponseDecoder decoder = new ResponseDecoder();
-        private final Connection connection = Connection.dial(address, "changes", OUTBOX, this);
+        private final Connection connection = Connection.dial(address, "changes", bound, this);
         private volatile long serial;
 
         boolean ask(Effect.Poll e) {
--- a/src/main/java/quincespar/program/EngineLinks.java
+++ b/src/main/java/quincespar/program/EngineLinks.java
@@ -14,17 +14,20 @@
 import quincespar.routing.EngineNews;
 import quincespar.routing.Input;
 import quincespar.transport.Connection;
+import quincespar.transport.OutboxBound;
 import quincespar.transport.Passage;
 
 /** The connections to engines, which speak RESP. */
 final class EngineLinks {
     private static final int OUTBOX = 4 << 20;
+    private static final long OUTBOXES = 12 << 20;
     private static final int MOST_PAGES = 4096;
     /** What the settings call a report's value, and what engines may call it. */
     private static final Map<String, String> SHORT = Map.of("outstanding", "inflight", "backlog", "queue",
             "utilization", "util", "recent_ms", "latency_ms", "throughput", "qps", "errors_per_s", "eps");
 
     private final Map<Long, Connection> connections = new ConcurrentHashMap<>();
+    private final OutboxBound bound = new OutboxBound(OUTBOX, OUTBOXES);
     private final List<String> reportFields;
     private final Consumer<Input> post;
 
@@ -36,7 +39,7 @@
     void open(Effect.OpenLink e) {
         try {
             InetSocketAddress address = Configuration.address(e.address());
-            connections.put(e.link(), Connection.dial(address, "engine-" + e.link(), OUTBOX, new Receiver(e.link())));
+            connections.put(e.link(), Connection.dial(address, "engine-" + e.link(), bound, new Receiver(e.link())));
         } catch (IllegalArgumentException x) { // listed at no address: as good as refused
             post.accept(new Input.LinkDown(e.link(), x.getMessage()));
         }
--- a/src/main/java/quincespar/program/ThriftFront.java
+++ b/src/main/java/quincespar/program/ThriftFront.java
@@ -26,6 +26,7 @@
 import quincespar.routing.Reply;
 import quincespar.routing.Site;
 import quincespar.transport.Connection;
+import quincespar.transport.OutboxBound;
 
 /** The clients' protocol: Thrift in frames. One session for each connection reads it and words the replies. */
 final class ThriftFront implements Front {
@@ -33,8 +34,10 @@
     private static final int MOST_OPEN = 32;
     /** All open answers of a connection at their longest: a slow reader may lag, but not hold more than this. */
     private static final int OUTBOX = MOST_OPEN * 50_000;
+    private static final long OUTBOXES = 16 << 20;
 
     private final Map<Long, Session> sessions = new ConcurrentHashMap<>();
+    private final OutboxBound bound = new OutboxBound(OUTBOX, OUTBOXES);
     private final AtomicLong numbers = new AtomicLong();
     private final Map<String, Integer> classes = new HashMap<>();
     private final Map<String, Integer> tenants = new HashMap<>();
@@ -61,7 +64,7 @@
     /** Takes a connection that was accepted. */
     void accept(Socket socket) {
         long number = numbers.incrementAndGet();
-        Connection c = Connection.accepted(socket, "client-" + number, OUTBOX);
+        Connection c = Connection.accepted(socket, "client-" + number, bound);
         if (sessions.size() >= mostConnections) { // descriptors are kept for engines and the change log
             c.close("too many connections");
             return;
--- a/src/main/java/quincespar/routing/Reducer.java
+++ b/src/main/java/quincespar/routing/Reducer.java
@@ -176,6 +176,7 @@
     private void forget(OpenRequest r) {
         if (r.over && !r.running()) {
             requests.remove(r.id);
+            r.attempts.stream().filter(a -> a.link != null).forEach(a -> a.link.abandoned.remove(r.query.txn()));
         }
     }
 
@@ -187,7 +188,7 @@
         } else if (action instanceof Gateway.Refuse a) {
             refuse(requests.get(a.id()), a.comeBack());
         } else if (action instanceof Gateway.Fail a) {
-            answer(requests.get(a.id()), new Reply.Failed("given up"));
+            answer(requests.get(a.id()), new Reply.Failed());
         } else if (action instanceof Gateway.Cancel a) {
             Attempt at = attempt(new AttemptKey(a.id(), a.attempt()));
             if (at != null) {
@@ -206,18 +207,20 @@
     private void refuse(OpenRequest r, double comeBack) {
         if (r != null && unsafe(r) && r.mayHaveRun()) { // a refusal says that a repeat is harmless
             effects.add(new Effect.Log("refusal of " + r.query.txn() + ", which may have run, was made a failure"));
-            answer(r, new Reply.Failed("it may have run"));
+            answer(r, new Reply.Failed());
         } else {
             answer(r, new Reply.Refused(comeBack));
         }
     }
 
     private boolean unsafe(OpenRequest r) {
-        return site.module().classes().get(r.query.cls()).effect() != Gateway.Effect.SAFE;
+        return site.module().classes().get(r.query.cls()).effect() == Gateway.Effect.UNSAFE;
     }
 
     private void send(OpenRequest r, Gateway.Send s) {
-        if (r == null || r.over || r.running() || unsafe(r) && r.mayHaveRun()) { // never twice, never two at once
+        boolean twice = r != null && (unsafe(r) && r.mayHaveRun()
+                || r.running() && !site.module().limits().secondCopies());
+        if (r == null || r.over || twice) { // a load never twice, and never two at once
             effects.add(new Effect.Log("the module's " + s + " was not carried out"));
             return;
         }
@@ -548,7 +551,7 @@
         } else if (key instanceof TimerKey.Request k) {
             OpenRequest r = requests.get(k.id());
             if (r != null && !r.over) { // the module had its time: no request may go without an answer
-                answer(r, new Reply.Failed("out of time"));
+                answer(r, new Reply.Failed());
                 events.add(new Gateway.Left(r.id));
             }
         } else if (key instanceof TimerKey.Connect k && links.containsKey(k.link())) {
--- a/src/main/java/quincespar/routing/Reply.java
+++ b/src/main/java/quincespar/routing/Reply.java
@@ -9,5 +9,5 @@
     record Refused(double comeBackMs) implements Reply { }
 
     /** Ended with nothing promised. */
-    record Failed(String why) implements Reply { }
+    record Failed() implements Reply { }
 }
--- a/src/main/java/quincespar/transport/Connection.java
+++ b/src/main/java/quincespar/transport/Connection.java
@@ -30,7 +30,7 @@
 
     private final Socket socket;
     private final String name;
-    private final int bound;
+    private final OutboxBound bound;
     private final ArrayDeque<Frame> outbox = new ArrayDeque<>();
     private final AtomicBoolean shut = new AtomicBoolean();
     private Handler handler;
@@ -39,19 +39,19 @@
     private boolean over;
     private String cause = "closed here";
 
-    private Connection(Socket socket, String name, int bound) {
+    private Connection(Socket socket, String name, OutboxBound bound) {
         this.socket = socket;
         this.name = name;
         this.bound = bound;
     }
 
     /** Takes over a socket that was accepted; nothing is read before {@link #start}. */
-    public static Connection accepted(Socket socket, String name, int bound) {
+    public static Connection accepted(Socket socket, String name, OutboxBound bound) {
         return new Connection(socket, name, bound);
     }
 
     /** Begins to connect on a thread of its own; the handler hears {@code opened} or {@code closed}. */
-    public static Connection dial(InetSocketAddress address, String name, int bound, Handler handler) {
+    public static Connection dial(InetSocketAddress address, String name, OutboxBound bound, Handler handler) {
         Connection c = new Connection(new Socket(), name, bound);
         c.handler = handler;
         c.thread("read", () -> c.connect(address)).start();
@@ -73,7 +73,7 @@
     /** As {@link #send(byte[])}: only if {@code passage} still stands at the first byte; {@code written} follows. */
     public boolean send(byte[] bytes, Passage passage, Runnable written) {
         synchronized (outbox) {
-            if (over || finishing || pending + bytes.length > bound) {
+            if (over || finishing || !bound.take(pending, bytes.length)) {
                 return false;
             }
             pending += bytes.length;
@@ -169,6 +169,7 @@
                 }
                 synchronized (outbox) {
                     pending -= f.bytes().length;
+                    bound.give(f.bytes().length);
                 }
             }
             close("finished");
@@ -180,6 +181,7 @@
         synchronized (outbox) {
             over = true;
             outbox.clear();
+            bound.give(pending);
         }
         handler.closed(cause);
     }
