--- a/src/main/java/quincespar/program/ThriftFront.java
+++ b/src/main/java/quincespar/program/ThriftFront.java
@@ -1,9 +1,6 @@
 package quincespar.program;
 
 import java.net.Socket;
-import java.nio.ByteBuffer;
-import java.nio.charset.CharacterCodingException;
-import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -16,6 +13,7 @@
 import quincespar.decision.Gateway;
 import quincespar.protocol.MalformedException;
 import quincespar.protocol.StatementScan;
+import quincespar.protocol.Utf8;
 import quincespar.protocol.thrift.FrameDecoder;
 import quincespar.protocol.thrift.FrontCodec;
 import quincespar.protocol.thrift.Message;
@@ -197,11 +195,7 @@
         if (!(limit > 0)) {
             throw new MalformedException("field limit is missing or not above 0");
         }
-        try {
-            StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(c.body()));
-        } catch (CharacterCodingException e) {
-            throw new MalformedException("the statement is not UTF-8");
-        }
+        Utf8.text(c.body()); // a statement that is no text can't be used
         return new Query(txn, cls, tenant, limit, "1".equals(f.get("second")), number(f, "cpu", Double.NaN),
                 number(f, "heap_mb", 0), StatementScan.group(c.body()), c.body());
     }
--- a/src/main/java/quincespar/protocol/StatementScan.java
+++ b/src/main/java/quincespar/protocol/StatementScan.java
@@ -27,7 +27,7 @@
 
     private int scan() {
         boolean tableNext = false;
-        while (at < s.length()) {
+        while (at < s.length() && behindTable < 0) { // a group behind such a word is final
             char c = s.charAt(at);
             if (skipped(c)) {
                 continue;
@@ -118,7 +118,7 @@
         }
         int group = number(word);
         if (group >= 0) {
-            behindTable = asTable && behindTable < 0 ? group : behindTable;
+            behindTable = asTable ? group : behindTable;
             anywhere = anywhere < 0 ? group : anywhere;
         }
     }
--- a/src/main/java/quincespar/protocol/resp/EngineCodec.java
+++ b/src/main/java/quincespar/protocol/resp/EngineCodec.java
@@ -1,13 +1,12 @@
 package quincespar.protocol.resp;
 
 import java.io.ByteArrayOutputStream;
-import java.nio.ByteBuffer;
-import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import quincespar.protocol.MalformedException;
+import quincespar.protocol.Utf8;
 
 /** The engines' commands and answers, as RESP arrays of bulk strings. */
 public final class EngineCodec {
@@ -56,8 +55,8 @@
             throw new MalformedException("an answer of " + items.size() + " parts");
         }
         byte[] body = items.size() > 3 ? items.get(3) : new byte[0];
-        return new Answer(text(items.get(0)), text(items.get(1)),
-                items.size() > 2 ? fields(text(items.get(2))) : Map.of(), body);
+        return new Answer(Utf8.text(items.get(0)), Utf8.text(items.get(1)),
+                items.size() > 2 ? fields(Utf8.text(items.get(2))) : Map.of(), body);
     }
 
     private static Map<String, String> fields(String s) {
@@ -75,14 +74,6 @@
         return out;
     }
 
-    private static String text(byte[] b) {
-        try {
-            return StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(b)).toString();
-        } catch (CharacterCodingException e) {
-            throw new MalformedException("text that is not UTF-8");
-        }
-    }
-
     private static byte[] ascii(String s) {
         return s.getBytes(StandardCharsets.US_ASCII);
     }
--- a/src/main/java/quincespar/protocol/thrift/FrontCodec.java
+++ b/src/main/java/quincespar/protocol/thrift/FrontCodec.java
@@ -3,11 +3,11 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.BufferUnderflowException;
 import java.nio.ByteBuffer;
-import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import quincespar.protocol.MalformedException;
+import quincespar.protocol.Utf8;
 
 /** The service {@code Front} in Thrift's strict binary protocol; frames are cut by {@link FrameDecoder}. */
 public final class FrontCodec {
@@ -118,14 +118,7 @@
     }
 
     private static String text(ByteBuffer in) {
-        int n = count(in);
-        ByteBuffer part = in.slice(in.position(), n);
-        in.position(in.position() + n);
-        try {
-            return StandardCharsets.UTF_8.newDecoder().decode(part).toString();
-        } catch (CharacterCodingException e) {
-            throw new MalformedException("text that is not UTF-8");
-        }
+        return Utf8.text(bytes(in));
     }
 
     private static void skip(ByteBuffer in, int type, int depth) {
