--- a/src/main/java/quincespar/decision/SettingsParser.java
+++ b/src/main/java/quincespar/decision/SettingsParser.java
@@ -14,7 +14,8 @@
 public final class SettingsParser {
     private final Map<String, String> pairs;
 
-    private SettingsParser(Map<String, String> pairs) {
+    /** A reader of these pairs. */
+    public SettingsParser(Map<String, String> pairs) {
         this.pairs = pairs;
     }
 
@@ -27,15 +28,11 @@
                 pairs.put(line.substring(0, eq).strip(), line.substring(eq + 1).strip());
             }
         }
-        return parse(pairs);
-    }
-
-    /** The settings of pairs; what can't be used is told in an {@link IllegalArgumentException}. */
-    public static Gateway.Settings parse(Map<String, String> pairs) {
         return new SettingsParser(pairs).settings();
     }
 
-    private double number(String key, double absent) {
+    /** A number, or {@code absent} where the key is; an {@link IllegalArgumentException} where it is none. */
+    public double number(String key, double absent) {
         String v = pairs.get(key);
         return v == null || v.isEmpty() ? absent : toNumber(key, v);
     }
@@ -59,7 +56,8 @@
         return absent ? !"false".equals(pairs.get(key)) : "true".equals(pairs.get(key));
     }
 
-    private List<String> words(String key) {
+    /** A list of names; empty where the key is absent. */
+    public List<String> words(String key) {
         String v = pairs.get(key);
         return v == null || v.isEmpty() ? List.of() : List.of(v.split(","));
     }
@@ -122,7 +120,8 @@
         return out;
     }
 
-    private Gateway.Settings settings() {
+    /** The module's settings; what can't be used is told in an {@link IllegalArgumentException}. */
+    public Gateway.Settings settings() {
         List<Gateway.ClassSpec> classes = new ArrayList<>();
         int n = (int) required("requestClasses.count");
         for (int i = 0; i < n; i++) {
--- a/src/main/java/quincespar/program/FrontEnd.java
+++ b/src/main/java/quincespar/program/FrontEnd.java
@@ -10,7 +10,6 @@
 import quincespar.decision.Brain;
 import quincespar.program.Lifecycle.Phase;
 import quincespar.routing.Effect;
-import quincespar.routing.Front;
 import quincespar.routing.Input;
 import quincespar.routing.Reducer;
 import quincespar.transport.Listener;
@@ -118,7 +117,7 @@
         } else if (effect instanceof Effect.StopTimer e) {
             timers.stop(e.key());
         } else if (effect instanceof Effect.Answer e) {
-            front().reply(e.caller(), e.reply());
+            front.reply(e.caller(), e.reply());
         } else if (effect instanceof Effect.Send e) {
             engines.send(e);
         } else if (effect instanceof Effect.Cancel e) {
@@ -132,7 +131,7 @@
         } else if (effect instanceof Effect.CloseLink e) {
             engines.close(e);
         } else if (effect instanceof Effect.AnswerHealth e) {
-            front().health(e.caller(), e.canServe() && lifecycle.phase() == Phase.SERVING);
+            front.health(e.caller(), e.canServe() && lifecycle.phase() == Phase.SERVING);
         } else if (effect instanceof Effect.Probe e) {
             engines.probe(e);
         } else if (effect instanceof Effect.Poll e) {
@@ -144,10 +143,6 @@
         }
     }
 
-    private Front front() {
-        return front;
-    }
-
     private Map<String, String> report() {
         Map<String, String> all = new LinkedHashMap<>(counters.all());
         all.put("phase", lifecycle.phase().name().toLowerCase(java.util.Locale.ROOT));
--- a/src/main/java/quincespar/program/Timers.java
+++ b/src/main/java/quincespar/program/Timers.java
@@ -1,41 +1,41 @@
 package quincespar.program;
 
+import java.util.HashMap;
 import java.util.Map;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import quincespar.routing.Input;
 import quincespar.routing.TimerKey;
+import quincespar.transport.Threads;
 
 /** The library's timers, one for each wait; firing posts an input and does nothing else. */
 final class Timers {
     private final ScheduledThreadPoolExecutor executor;
-    private final Map<TimerKey, Future<?>> running = new ConcurrentHashMap<>();
+    private final Map<TimerKey, Future<?>> running = new HashMap<>();
     private final Consumer<Input> post;
 
     Timers(Consumer<Input> post) {
         this.post = post;
-        executor = new ScheduledThreadPoolExecutor(1, r -> {
-            Thread t = new Thread(null, r, "timers", 160 * 1024);
-            t.setDaemon(true);
-            return t;
-        });
+        executor = new ScheduledThreadPoolExecutor(1, r -> Threads.daemon("timers", r));
         executor.setRemoveOnCancelPolicy(true);
     }
 
-    void start(TimerKey key, double delayMs) {
-        Future<?> old = running.put(key, executor.schedule(() -> {
+    /** Starts a timer; one that runs under the same key is stopped. */
+    synchronized void start(TimerKey key, double delayMs) {
+        stop(key);
+        running.put(key, executor.schedule(() -> fire(key), (long) (delayMs * 1000), TimeUnit.MICROSECONDS));
+    }
+
+    private void fire(TimerKey key) {
+        synchronized (this) { // a timer of no delay may fire before it is noted, and would be noted for good
             running.remove(key);
-            post.accept(new Input.TimerFired(key));
-        }, (long) (delayMs * 1000), TimeUnit.MICROSECONDS));
-        if (old != null) {
-            old.cancel(false);
         }
+        post.accept(new Input.TimerFired(key));
     }
 
-    void stop(TimerKey key) {
+    synchronized void stop(TimerKey key) {
         Future<?> old = running.remove(key);
         if (old != null) {
             old.cancel(false);
--- a/src/main/java/quincespar/routing/Attempt.java
+++ b/src/main/java/quincespar/routing/Attempt.java
@@ -30,6 +30,16 @@
         this.until = until;
     }
 
+    /** The engine's name for its request. */
+    String txn() {
+        return request.query.txn();
+    }
+
+    /** Whether its request was given up on its link before: what comes may then be the earlier attempt's. */
+    boolean follows() {
+        return link.abandoned.contains(txn());
+    }
+
     boolean done() {
         return pages != null;
     }
--- a/src/main/java/quincespar/routing/Reducer.java
+++ b/src/main/java/quincespar/routing/Reducer.java
@@ -123,7 +123,7 @@
         } else if (i instanceof Input.LinkUp x) {
             linkUp(links.get(x.link()));
         } else if (i instanceof Input.LinkDown x) {
-            linkDown(links.remove(x.link()));
+            linkDown(links.get(x.link()));
         } else if (i instanceof Input.Withdrawn x) {
             left(x.caller());
         } else if (i instanceof Input.CallerGone x) {
@@ -265,7 +265,7 @@
         if (a.passage.revoke()) {
             end(a, as == Outcome.TIMEOUT ? Outcome.CONNECT_FAILED : as);
         } else if (a.done()) {
-            effects.add(new Effect.Release(a.link.id, a.request.query.txn()));
+            effects.add(new Effect.Release(a.link.id, a.txn()));
             end(a, as);
         } else {
             cancel(a, as);
@@ -281,7 +281,7 @@
         if (a.givenUp != null) {
             effects.add(new Effect.StopTimer(new TimerKey.GiveUp(a.key)));
         }
-        if (a.link != null && a.link.open.remove(a.request.query.txn(), a)) {
+        if (a.link != null && a.link.open.remove(a.txn(), a)) {
             // silent since before it was sent: what is sent next tries a new connection, which proves more
             a.link.suspect |= a.givenUp != null && a.link.heardAt < a.at;
             rest(a.link);
@@ -333,7 +333,7 @@
      * its cancel, and then this attempt still runs: it is cancelled too before another goes out.
      */
     private void fail(Attempt a) {
-        if (a.link.abandoned.contains(a.request.query.txn())) {
+        if (a.follows()) {
             cancel(a, Outcome.ERROR);
         } else {
             end(a, Outcome.ERROR);
@@ -342,9 +342,9 @@
 
     private void cancel(Attempt a, Outcome as) {
         a.givenUp = as;
-        a.link.abandoned.add(a.request.query.txn());
+        a.link.abandoned.add(a.txn());
         startTimer(new TimerKey.GiveUp(a.key), CANCEL);
-        effects.add(new Effect.Cancel(a.link.id, a.key, a.request.query.txn()));
+        effects.add(new Effect.Cancel(a.link.id, a.key, a.txn()));
     }
 
     private void done(Attempt a, EngineNews.Done d) {
@@ -364,15 +364,15 @@
             return;
         }
         if (a.pageCount() > 1) {
-            effects.add(new Effect.Release(a.link.id, a.request.query.txn()));
+            effects.add(new Effect.Release(a.link.id, a.txn()));
         }
         byte[] result = a.result();
         if (result.length > MOST_BYTES) {
             fail(a);
             return;
         }
-        if (a.link.abandoned.contains(a.request.query.txn())) { // it may be the answer to the one given up
-            effects.add(new Effect.Cancel(a.link.id, a.key, a.request.query.txn()));
+        if (a.follows()) { // it may be the answer to the one given up
+            effects.add(new Effect.Cancel(a.link.id, a.key, a.txn()));
         }
         answer(a.request, new Reply.Served(result));
         end(a, Outcome.OK);
--- a/src/main/java/quincespar/routing/Site.java
+++ b/src/main/java/quincespar/routing/Site.java
@@ -12,21 +12,13 @@
 
     /** Reads pairs of path and value, as the adapter does; throws {@link IllegalArgumentException}. */
     public static Site of(Map<String, String> pairs) {
-        return new Site(SettingsParser.parse(pairs), words(pairs.get("localities")), words(pairs.get("kinds")),
-                number(pairs, "limits.connIdle", IDLE), (int) number(pairs, "limits.maxStreams", STREAMS));
+        SettingsParser settings = new SettingsParser(pairs);
+        return new Site(settings.settings(), settings.words("localities"), settings.words("kinds"),
+                aboveZero(settings.number("limits.connIdle", IDLE), IDLE),
+                (int) aboveZero(settings.number("limits.maxStreams", STREAMS), STREAMS));
     }
 
-    private static List<String> words(String joined) {
-        return joined == null || joined.isEmpty() ? List.of() : List.of(joined.split(","));
-    }
-
-    private static double number(Map<String, String> pairs, String key, double absent) {
-        String v = pairs.get(key);
-        try {
-            double n = v == null ? absent : Double.parseDouble(v);
-            return n > 0 ? n : absent;
-        } catch (NumberFormatException e) {
-            throw new IllegalArgumentException("setting " + key + ": not a number: " + v);
-        }
+    private static double aboveZero(double n, double absent) {
+        return n > 0 ? n : absent;
     }
 }
--- a/src/main/java/quincespar/transport/Connection.java
+++ b/src/main/java/quincespar/transport/Connection.java
@@ -25,7 +25,6 @@
 
     private record Frame(byte[] bytes, Passage passage, Runnable written) { }
 
-    private static final long STACK = 160 * 1024;
     private static final int CHUNK = 8 * 1024;
 
     private final Socket socket;
@@ -113,9 +112,7 @@
     }
 
     private Thread thread(String role, Runnable body) {
-        Thread t = new Thread(null, body, name + "-" + role, STACK);
-        t.setDaemon(true);
-        return t;
+        return Threads.daemon(name + "-" + role, body);
     }
 
     private void connect(InetSocketAddress address) {
@@ -124,7 +121,7 @@
             socket.connect(address);
         } catch (IOException e) {
             close("connect: " + e.getMessage());
-            handler.closed(cause);
+            ended();
             return;
         }
         handler.opened();
@@ -178,8 +175,12 @@
         } catch (InterruptedException e) {
             close("interrupted");
         }
+        ended();
+    }
+
+    /** The end, however far it came: what is still queued frees its room in the bound that others share. */
+    private void ended() {
         synchronized (outbox) {
-            over = true;
             outbox.clear();
             bound.give(pending);
         }
--- a/src/main/java/quincespar/transport/Listener.java
+++ b/src/main/java/quincespar/transport/Listener.java
@@ -26,9 +26,7 @@
 
     /** Accepts on a thread of its own. */
     public void start(Consumer<Socket> taker) {
-        Thread t = new Thread(null, () -> accept(taker), "listener", 160 * 1024);
-        t.setDaemon(true);
-        t.start();
+        Threads.daemon("listener", () -> accept(taker)).start();
     }
 
     private void accept(Consumer<Socket> taker) {
--- a/src/test/java/quincespar/transport/ConnectionTest.java
+++ b/src/test/java/quincespar/transport/ConnectionTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.concurrent.CountDownLatch;
@@ -54,6 +55,29 @@
         }
     }
 
+    @Test
+    void aConnectThatFailsFreesTheRoomOfWhatWasQueued() throws Exception {
+        OutboxBound bound = new OutboxBound(100, 100);
+        int port;
+        try (ServerSocket gone = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            port = gone.getLocalPort();
+        }
+        assertThat(bound.take(0, 60)).isTrue(); // so that a queued frame of 40 fills the bound
+        CountDownLatch tried = new CountDownLatch(1);
+        Connection.dial(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), "c", bound,
+                new Connection.Handler() {
+                    @Override
+                    public void received(byte[] bytes, int count) { }
+
+                    @Override
+                    public void closed(String cause) {
+                        tried.countDown();
+                    }
+                }).send(new byte[40]);
+        tried.await();
+        assertThat(bound.take(0, 40)).isTrue();
+    }
+
     @Test
     void aFrameWhoseLeaveWasTakenBackDoesNotGoOutAndOthersDo() throws Exception {
         try (ServerSocket server = new ServerSocket(0, 5, InetAddress.getLoopbackAddress());
