Take SIGHUP as an input: the poll moves to the new change log at once

The logs show 'change log: closed by the peer' and then only refused connects, and no 'stopped' although SIGHUP came. Cause: the JVM's own handler took SIGHUP (SigCgt has bit 1) and ran the shutdown hook of Main.serve, so the front end closed its listener after 0.8 s and waited in FINISHING for open requests that never ended, while ChangeLog kept the address of the start (ChangeLog.java:22, a final field). Ruled out: an ignored signal. Now: Main installs a handler before serving, Hangup is an input, Reread and Poll with an address are effects. A port that is closed when the poll begins now fails under the poll's own number (it was 0 and went unheard until the poll's timer).

--- a/src/main/java/quincespar/program/ChangeLog.java
+++ b/src/main/java/quincespar/program/ChangeLog.java
@@ -17,18 +17,16 @@
     private static final int OK = 200;
 
     private final OutboxBound bound = new OutboxBound(OUTBOX, OUTBOX);
-    private final InetSocketAddress address;
     private final Consumer<Input> post;
     private Exchange current;
 
-    ChangeLog(InetSocketAddress address, Consumer<Input> post) {
-        this.address = address;
+    ChangeLog(Consumer<Input> post) {
         this.post = post;
     }
 
     void poll(Effect.Poll e) {
         if (current == null || !current.ask(e)) {
-            current = new Exchange();
+            current = new Exchange(Configuration.address(e.address()), e.serial());
             current.ask(e);
         }
     }
@@ -42,9 +40,17 @@
 
     private final class Exchange implements Connection.Handler {
         private final ResponseDecoder decoder = new ResponseDecoder();
-        private final Connection connection = Connection.dial(address, "changes", bound, this);
+        private final InetSocketAddress address;
+        private final Connection connection;
         private volatile long serial;
 
+        /** The number is set before the dial: a port that is closed may say so before anything is asked. */
+        Exchange(InetSocketAddress address, long serial) {
+            this.address = address;
+            this.serial = serial;
+            connection = Connection.dial(address, "changes", bound, this);
+        }
+
         boolean ask(Effect.Poll e) {
             serial = e.serial();
             String request = "GET /changes?since=" + e.since() + "&timeout=" + e.waitMs() + " HTTP/1.1\r\nHost: "
--- a/src/main/java/quincespar/program/Configuration.java
+++ b/src/main/java/quincespar/program/Configuration.java
@@ -12,7 +12,7 @@
 import quincespar.routing.Site;
 
 /** What the front end is told at its start. */
-record Configuration(String name, InetSocketAddress listen, InetSocketAddress changeLog, long seed, int sockets,
+record Configuration(String name, InetSocketAddress listen, String changeLog, long seed, int sockets,
         Site site, ChangeLogCodec.Changes known) {
 
     private static final int SOCKETS = 1024;
@@ -35,8 +35,10 @@
     private static Configuration read(Map<String, Object> all, Map<String, String> environment) {
         Map<String, Object> limits = all.get("limits") == null ? Map.of() : Json.object(all.get("limits"), "limits");
         String listen = environment.getOrDefault("GW_LISTEN", String.valueOf(all.get("listen")));
+        String changeLog = Json.text(all.get("changelog"), "changelog");
+        address(changeLog); // complains where it is none
         return new Configuration(environment.getOrDefault("GW_NAME", String.valueOf(all.get("name"))),
-                address(listen), address(Json.text(all.get("changelog"), "changelog")),
+                address(listen), changeLog,
                 Long.parseUnsignedLong(Json.text(all.get("seed"), "seed"), 16),
                 (int) (limits.get("sockets") == null ? SOCKETS : Json.number(limits.get("sockets"), "sockets")),
                 Site.of(Json.pairs(Json.object(all.get("settings"), "settings"))),
--- a/src/main/java/quincespar/program/Counters.java
+++ b/src/main/java/quincespar/program/Counters.java
@@ -16,7 +16,7 @@
         REQUESTS_TAKEN, REQUESTS_CANCELLED, ANSWERS_SERVED, ANSWERS_REFUSED, ANSWERS_FAILED, ATTEMPTS_SENT,
         ATTEMPTS_CANCELLED, ENGINES_DONE, ENGINES_PAGE, ENGINES_FULL, ENGINES_BROKE, ENGINES_PAST, ENGINES_NOTE,
         PROBES_SENT, PROBES_ANSWERED, PAGES_ASKED, LINKS_OPENED, LINKS_CLOSED, CHANGES_QUIET, CHANGES_NEWS,
-        CHANGES_FAILED, ERRORS_UNCAUGHT
+        CHANGES_FAILED, CONFIGURATIONS_TAKEN, CONFIGURATIONS_REFUSED, ERRORS_UNCAUGHT
     }
 
     private final AtomicLongArray counts = new AtomicLongArray(Count.values().length);
@@ -40,6 +40,10 @@
             count(c.events().isEmpty() ? Count.CHANGES_QUIET : Count.CHANGES_NEWS);
         } else if (i instanceof Input.ChangesFailed) {
             count(Count.CHANGES_FAILED);
+        } else if (i instanceof Input.Reconfigured) {
+            count(Count.CONFIGURATIONS_TAKEN);
+        } else if (i instanceof Input.ReconfigureFailed) {
+            count(Count.CONFIGURATIONS_REFUSED);
         }
     }
 
--- a/src/main/java/quincespar/program/FrontEnd.java
+++ b/src/main/java/quincespar/program/FrontEnd.java
@@ -13,6 +13,7 @@
 import quincespar.routing.Input;
 import quincespar.routing.Reducer;
 import quincespar.transport.Listener;
+import quincespar.transport.Threads;
 
 /** The running front end: wires the layers, and runs the one thread that feeds the reducer. */
 final class FrontEnd {
@@ -27,6 +28,7 @@
     private final Clock clock = new Clock();
     private final BlockingQueue<Input> inputs = new LinkedBlockingQueue<>();
     private final Timers timers = new Timers(inputs::add);
+    private final Map<String, String> environment;
     private final Configuration configuration;
     private final Reducer reducer;
     private final Listener listener;
@@ -34,20 +36,23 @@
     private final EngineLinks engines;
     private final ChangeLog changes;
 
-    /** Binds the address, so that a wrong one is told before anything runs. */
-    FrontEnd(Configuration c) throws IOException {
+    /** Reads the configuration and binds the address, so that what is wrong is told before anything runs. */
+    FrontEnd(Map<String, String> environment) throws IOException {
+        this.environment = environment;
+        Configuration c = Configuration.read(environment);
         configuration = c;
         reducer = new Reducer(c.site(), new Brain(c.site().module(), c.seed()));
         listener = new Listener(c.listen());
         front = new ThriftFront(c.site(), (int) (c.sockets() * CLIENT_SHARE), clock, inputs::add, this::report);
         engines = new EngineLinks(c.site().module().fleet().reportFields(), inputs::add);
-        changes = new ChangeLog(c.changeLog(), inputs::add);
+        changes = new ChangeLog(inputs::add);
     }
 
     /** Serves until told to stop and all that was taken is answered. */
     void run() throws InterruptedException {
         new Warmup(configuration, front).run();
-        perform(reducer.start(clock.now(), configuration.known().seq(), configuration.known().events()));
+        perform(reducer.start(clock.now(), configuration.changeLog(), configuration.known().seq(),
+                configuration.known().events()));
         listener.start(front::accept);
         lifecycle.enter(Phase.SERVING);
         System.err.println(configuration.name() + ": serving on " + configuration.listen());
@@ -76,6 +81,19 @@
         System.err.println(configuration.name() + ": stopped: " + report());
     }
 
+    /** The configuration has been replaced; called from another thread, at any time from the start on. */
+    void hangup() {
+        inputs.add(new Input.Hangup());
+    }
+
+    private void reread(long serial) {
+        try {
+            inputs.add(new Input.Reconfigured(serial, Configuration.read(environment).changeLog()));
+        } catch (RuntimeException e) { // whatever is wrong with the new file, the old one stays in force
+            inputs.add(new Input.ReconfigureFailed(serial, e.getMessage()));
+        }
+    }
+
     private void stop() throws InterruptedException {
         front.finish();
         double until = clock.now() + FLUSH_MS;
@@ -136,6 +154,8 @@
             engines.probe(e);
         } else if (effect instanceof Effect.Poll e) {
             changes.poll(e);
+        } else if (effect instanceof Effect.Reread e) {
+            Threads.daemon("reread", () -> reread(e.serial())).start();
         } else if (effect instanceof Effect.DropPoll) {
             changes.drop();
         } else if (effect instanceof Effect.Log e) {
--- a/src/main/java/quincespar/program/Main.java
+++ b/src/main/java/quincespar/program/Main.java
@@ -8,6 +8,7 @@
 import quincespar.protocol.thrift.FrontCodec;
 import quincespar.simulator.WireException;
 import quincespar.simulator.WireHost;
+import sun.misc.Signal;
 
 /** The command line. */
 @Command(name = "quincespar", description = "A front end before shared query engines.",
@@ -57,7 +58,8 @@
 
     @Command(name = "serve", description = "Serve clients, as GW_CONFIG, GW_LISTEN and GW_NAME say.")
     int serve() throws IOException, InterruptedException {
-        FrontEnd frontEnd = new FrontEnd(Configuration.read(System.getenv()));
+        FrontEnd frontEnd = new FrontEnd(System.getenv());
+        Signal.handle(new Signal("HUP"), s -> frontEnd.hangup()); // left alone, it would end the program
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             try {
                 frontEnd.leave();
--- a/src/main/java/quincespar/routing/Effect.java
+++ b/src/main/java/quincespar/routing/Effect.java
@@ -38,8 +38,11 @@
     /** Stop a timer. */
     record StopTimer(TimerKey key) implements Effect { }
 
-    /** Ask the change log for what came after an event. */
-    record Poll(long serial, long since, long waitMs) implements Effect { }
+    /** Ask the change log at an address for what came after an event. */
+    record Poll(long serial, String address, long since, long waitMs) implements Effect { }
+
+    /** Read the configuration again. */
+    record Reread(long serial) implements Effect { }
 
     /** Give up what is asked of the change log. */
     record DropPoll() implements Effect { }
--- a/src/main/java/quincespar/routing/Input.java
+++ b/src/main/java/quincespar/routing/Input.java
@@ -35,6 +35,15 @@
     /** The change log did not answer, or with what can't be read. */
     record ChangesFailed(long serial, String cause) implements Input { }
 
+    /** The operators say that the configuration has been replaced. */
+    record Hangup() implements Input { }
+
+    /** The new configuration was read; {@code changeLog} is where the change log is from now on. */
+    record Reconfigured(long serial, String changeLog) implements Input { }
+
+    /** The new configuration can't be used. */
+    record ReconfigureFailed(long serial, String cause) implements Input { }
+
     /** A timer came due. */
     record TimerFired(TimerKey key) implements Input { }
 }
--- a/src/main/java/quincespar/routing/Reducer.java
+++ b/src/main/java/quincespar/routing/Reducer.java
@@ -47,6 +47,8 @@
     private long serial;
     private long poll;
     private long seq;
+    private String changeLog;
+    private long reread;
     private double decidedAt;
     private boolean tickAsked;
 
@@ -58,8 +60,9 @@
     }
 
     /** The first step: the events of the start, and the first question to the change log. */
-    public List<Effect> start(double time, long lastSeq, List<FleetEvent> known) {
+    public List<Effect> start(double time, String changeLogAt, long lastSeq, List<FleetEvent> known) {
         now = time;
+        changeLog = changeLogAt;
         seq = lastSeq;
         known.forEach(e -> events.add(fleet.take(e)));
         ask();
@@ -134,6 +137,13 @@
             changes(x);
         } else if (i instanceof Input.ChangesFailed x && x.serial() == poll) {
             pollFailed(x.cause());
+        } else if (i instanceof Input.Hangup) {
+            reread = ++serial;
+            effects.add(new Effect.Reread(reread));
+        } else if (i instanceof Input.Reconfigured x && x.serial() == reread) {
+            moveTo(x.changeLog());
+        } else if (i instanceof Input.ReconfigureFailed x && x.serial() == reread) {
+            effects.add(new Effect.Log("the configuration stays as it was: " + x.cause()));
         }
     }
 
@@ -513,9 +523,23 @@
         }
     }
 
+    /**
+     * A new configuration: the change log is asked at its new address at once, with the same number. Guards
+     * against going on with the old one, which tells nothing more and closes: drains would not be heard of.
+     * Requests, links and the fleet stay as they are. The file may be replaced again soon; the last one counts.
+     */
+    private void moveTo(String address) {
+        effects.add(new Effect.Log("change log at " + address + " from event " + seq));
+        changeLog = address;
+        effects.add(new Effect.StopTimer(new TimerKey.Poll(poll)));
+        effects.add(new Effect.StopTimer(new TimerKey.PollAgain()));
+        effects.add(new Effect.DropPoll());
+        ask();
+    }
+
     private void ask() {
         poll = ++serial;
-        effects.add(new Effect.Poll(poll, seq, POLL));
+        effects.add(new Effect.Poll(poll, changeLog, seq, POLL));
         startTimer(new TimerKey.Poll(poll), POLL + POLL_SLACK);
     }
 
--- a/src/test/java/quincespar/program/StoriesTest.java
+++ b/src/test/java/quincespar/program/StoriesTest.java
@@ -30,6 +30,7 @@
     private Peers.Changes changes;
     private FrontEnd frontEnd;
     private Thread running;
+    private Path file;
     private int port;
 
     @BeforeAll
@@ -39,7 +40,7 @@
         try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             port = free.getLocalPort();
         }
-        Path file = folder.resolve("config.json");
+        file = folder.resolve("config.json");
         Files.writeString(file, """
             {"name":"n1","listen":"127.0.0.1:%d","seed":"8c1f30d27a5be964","limits":{"sockets":64},
              "changelog":"127.0.0.1:%d","known":{"seq":1,"results":[{"seq":1,"fleet":{"revision":1,"complete":true,
@@ -49,7 +50,7 @@
              "projects":[{"name":"acme","quotaPerS":50,"share":1}],"requestClasses":[
              {"name":"lookup","slo":2000,"hardLimit":4000,"effect":"safe","points":1}]}}
             """.formatted(port, changes.server.getLocalPort(), engine.server.getLocalPort()));
-        frontEnd = new FrontEnd(Configuration.read(Map.of("GW_CONFIG", file.toString())));
+        frontEnd = new FrontEnd(Map.of("GW_CONFIG", file.toString()));
         running = new Thread(() -> {
             try {
                 frontEnd.run();
@@ -169,6 +170,26 @@
         }
     }
 
+    @Test
+    void aNewConfigurationIsTakenWhileServing() throws Exception {
+        Peers.Changes moved = new Peers.Changes();
+        String old = Files.readString(file);
+        Files.writeString(file, "{");
+        frontEnd.hangup();
+        Files.writeString(file, old.replace("\"changelog\":\"127.0.0.1:" + changes.server.getLocalPort(),
+                "\"changelog\":\"127.0.0.1:" + moved.server.getLocalPort()));
+        frontEnd.hangup();
+        assertThat(moved.questions.take()).startsWith("GET /changes?since=1&timeout=");
+        Files.writeString(file, old);
+        frontEnd.hangup(); // and back again, as the other stories need the old one
+        while (changes.questions.poll(10, java.util.concurrent.TimeUnit.MILLISECONDS) == null) {
+            Thread.onSpinWait();
+        }
+        try (Peers.Client c = new Peers.Client(port)) {
+            assertThat(c.healthy()).isTrue();
+        }
+    }
+
     @Test
     void aBadConfigurationIsToldInOneLine(@TempDir Path folder) throws IOException {
         Path file = Files.writeString(folder.resolve("bad.json"), "{\"listen\":\"127.0.0.1:1\"");
--- a/src/test/java/quincespar/routing/ReducerTest.java
+++ b/src/test/java/quincespar/routing/ReducerTest.java
@@ -39,7 +39,7 @@
             plan.clear();
             return out;
         });
-        effects.addAll(reducer.start(now, 1, List.of(fleet(1, Phase.UP, "a", "b"))));
+        effects.addAll(reducer.start(now, "127.0.0.1:1", 1, List.of(fleet(1, Phase.UP, "a", "b"))));
     }
 
     private static FleetEvent fleet(long seq, Phase phase, String... ids) {
@@ -234,4 +234,24 @@
         step(new Input.HealthAsked(CALLER));
         assertThat(last(Effect.AnswerHealth.class).canServe()).isTrue();
     }
+
+    @Test
+    void aNewConfigurationMovesThePollAtOnceAndKeepsTheRest() {
+        Effect.Send s = sent(0);
+        step(new Input.Hangup(), new Input.Hangup()); // the file may be replaced again at once: the last counts
+        List<Effect.Reread> rereads = of(Effect.Reread.class, effects);
+        step(new Input.Reconfigured(rereads.get(1).serial(), "127.0.0.1:2"),
+                new Input.Reconfigured(rereads.get(0).serial(), "127.0.0.1:3"));
+        Effect.Poll poll = last(Effect.Poll.class);
+        assertThat(poll.address()).isEqualTo("127.0.0.1:2");
+        assertThat(poll.since()).isEqualTo(1);
+        step(new Input.ChangesFailed(1, "closed by the peer")); // the old one's end says nothing of the new one
+        step(new Input.Said(s.link(), done(s, 1)));
+        assertThat(last(Effect.Answer.class).reply()).isInstanceOf(Reply.Served.class);
+        assertThat(last(Effect.Poll.class)).isEqualTo(poll);
+        step(new Input.Hangup());
+        step(new Input.ReconfigureFailed(last(Effect.Reread.class).serial(), "not JSON"));
+        assertThat(of(Effect.Log.class, effects)).hasSize(2);
+        assertThat(last(Effect.Poll.class)).isEqualTo(poll);
+    }
 }
