--- a/src/main/java/quincespar/decision/Brain.java
+++ b/src/main/java/quincespar/decision/Brain.java
@@ -45,6 +45,8 @@
     private static final double BORROW = 3;
     /** What a thread of lesser γμ counts against a class: engines that heed priority share as 1 to 4. */
     private static final double LOWER = 0.25;
+    /** The same under an engine's own bound, against the class of the largest γμ: a half fills no engine. */
+    private static final double LOWER_OWN = 0.5;
     /** Engines that a router watches. */
     private static final double WATCHED = 10;
     /** Share of service that words may cost at most; bytes charged for both words of an attempt. */
@@ -295,15 +297,18 @@
     /**
      * Parts that others leave idle may be used: a pooled bound is wider while the fleet holds less. It is a
      * few threads, so one or two long queries fill it for seconds: against a class of larger γμ they count
-     * less, else what is shortest and dearest would wait for what can't be stopped.
+     * less, else what is shortest and dearest would wait for what can't be stopped. Under an engine's own bound
+     * that holds for the class of the largest γμ alone: it is the smaller part of the work, and all share cores.
      */
     private boolean room(Bound b, Kind k) {
         double taken = b.threads, spare = b == pool && spoken() ? BORROW * (b.width - fleet) : 0;
-        for (int c = 0; b == pool && c < kinds.length; c += 2) {
-            taken -= value(kinds[c]) < value(kinds[k.cls * 2]) ? (1 - LOWER) * b.out[c / 2] : 0;
+        boolean leads = leads(kinds[k.cls * 2]);
+        double lower = b == pool ? LOWER : leads ? LOWER_OWN : 1;
+        for (int c = 0; lower < 1 && c < kinds.length; c += 2) {
+            taken -= value(kinds[c]) < value(kinds[k.cls * 2]) ? (1 - lower) * b.out[c / 2] : 0;
         }
         return b.threads == 0 || taken + (k.spec.threads() + 1) / 2.0 <= b.width
-                + (leads(kinds[k.cls * 2]) ? Math.max(0, spare) : spare);
+                + (leads ? Math.max(0, spare) : spare);
     }
 
     /** Whether words tell of the fleet: not just after a start, when nothing has been heard yet. */
@@ -349,7 +354,7 @@
         } else if (wanted && allNear(b)) {
             b.width += 1 / Math.max(1, b.width) * k.spec.threads();
         }
-        double part = b == pool ? reach(n) / set.routers() : 1; // a thread for each core overfills nothing
+        double part = reach(n) / set.routers(); // a thread for each core overfills nothing
         b.width = Math.max(Math.max(1, part), Math.min(b.width, 4 * reach(n)));
     }
 
@@ -366,7 +371,7 @@
     private boolean allNear(Bound b) {
         for (Kind k : kinds) {
             Mean s = b.stretch[k.cls];
-            if (k.band == 0 && s.weight > 0.1 && s.value(0) - k.best > Math.log(NEAR)) {
+            if (k.band == 0 && s.weightAt(now) > 0.1 && s.value(0) - k.best > Math.log(NEAR)) {
                 return false;
             }
         }
@@ -491,7 +496,13 @@
     }
 
     private boolean leads(Kind mine) {
-        return Arrays.stream(kinds).noneMatch(k -> k.band == 0 && value(k) > value(mine));
+        double least = value(mine);
+        for (int c = 0; c < kinds.length; c += 2) { // asked for each engine and type: no stream here
+            if (value(kinds[c]) > least) {
+                return false;
+            }
+        }
+        return true;
     }
 
     private double value(Kind k) {
@@ -716,7 +727,7 @@
         int middle = quiet.length - 1 - nodes.size() / 2; // idle engines are silent for nothing
         double usual = middle < 0 ? 0 : quiet[middle];
         for (Node n : busy) {
-            boolean silent = silence(n) > SILENT + 2 * usual;
+            boolean silent = silence(n) > SILENT + 2 * usual && now - heard(n) > set.fleet().notePeriod();
             if (silent && !n.shunned()) {
                 shun(n);
             }
@@ -738,6 +749,11 @@
         return sum;
     }
 
+    private double heard(Node n) {
+        double first = n.outstanding.stream().mapToDouble(a -> a.at).min().orElse(now);
+        return Math.max(first, n.heardAt);
+    }
+
     private boolean straggles(Attempt a) {
         Kind k = kinds[a.query.cls * 2 + a.query.band];
         double deviations = set.fleet().notePeriod() > 0 ? 2.5 : 1.4; // notes tell more surely than time
--- a/src/main/java/quincespar/decision/State.java
+++ b/src/main/java/quincespar/decision/State.java
@@ -40,6 +40,11 @@
             weight = weight * keep + 1;
         }
 
+        /** What it weighs now: a figure that nothing has added to for long tells of a time gone by. */
+        double weightAt(double now) {
+            return weight * Math.exp((last - now) / span);
+        }
+
         double value(double absent) {
             return weight > 1e-9 ? sum / weight : absent;
         }
--- a/src/main/java/quincespar/program/ChangeLog.java
+++ b/src/main/java/quincespar/program/ChangeLog.java
@@ -48,7 +48,8 @@
         Exchange(InetSocketAddress address, long serial) {
             this.address = address;
             this.serial = serial;
-            connection = Connection.dial(address, "changes", bound, this);
+            connection = Connection.dialled("changes", bound);
+            connection.dial(address, this);
         }
 
         boolean ask(Effect.Poll e) {
--- a/src/main/java/quincespar/program/Configuration.java
+++ b/src/main/java/quincespar/program/Configuration.java
@@ -9,13 +9,19 @@
 import quincespar.protocol.ChangeLogCodec;
 import quincespar.protocol.Json;
 import quincespar.protocol.MalformedException;
+import quincespar.routing.Bounds;
 import quincespar.routing.Site;
 
 /** What the front end is told at its start. */
 record Configuration(String name, InetSocketAddress listen, String changeLog, long seed, int sockets,
-        Site site, ChangeLogCodec.Changes known) {
+        int memoryMb, Site site, ChangeLogCodec.Changes known) {
 
-    private static final int SOCKETS = 1024;
+    private static final int SOCKETS = 256;
+    private static final int MEMORY_MB = 128;
+
+    Bounds bounds() {
+        return Bounds.of(sockets, memoryMb);
+    }
 
     /** Reads the file that {@code GW_CONFIG} names; throws {@link IllegalArgumentException} in one plain line. */
     static Configuration read(Map<String, String> environment) {
@@ -40,11 +46,15 @@
         return new Configuration(environment.getOrDefault("GW_NAME", String.valueOf(all.get("name"))),
                 address(listen), changeLog,
                 Long.parseUnsignedLong(Json.text(all.get("seed"), "seed"), 16),
-                (int) (limits.get("sockets") == null ? SOCKETS : Json.number(limits.get("sockets"), "sockets")),
+                limit(limits, "sockets", SOCKETS), limit(limits, "memory_mb", MEMORY_MB),
                 Site.of(Json.pairs(Json.object(all.get("settings"), "settings"))),
                 ChangeLogCodec.read(all.get("known")));
     }
 
+    private static int limit(Map<String, Object> limits, String name, int absent) {
+        return limits.get(name) == null ? absent : (int) Math.max(1, Json.number(limits.get(name), name));
+    }
+
     /** An address with numbers only: names are not looked up. */
     static InetSocketAddress address(String hostPort) {
         int colon = hostPort.lastIndexOf(':');
--- a/src/main/java/quincespar/program/Counters.java
+++ b/src/main/java/quincespar/program/Counters.java
@@ -13,10 +13,11 @@
 final class Counters {
     /** What is counted; the names are printed in lower case with a point for the underscore. */
     enum Count {
-        REQUESTS_TAKEN, REQUESTS_CANCELLED, ANSWERS_SERVED, ANSWERS_REFUSED, ANSWERS_FAILED, ATTEMPTS_SENT,
-        ATTEMPTS_CANCELLED, ENGINES_DONE, ENGINES_PAGE, ENGINES_FULL, ENGINES_BROKE, ENGINES_PAST, ENGINES_NOTE,
-        PROBES_SENT, PROBES_ANSWERED, PAGES_ASKED, LINKS_OPENED, LINKS_CLOSED, CHANGES_QUIET, CHANGES_NEWS,
-        CHANGES_FAILED, CONFIGURATIONS_TAKEN, CONFIGURATIONS_REFUSED, ERRORS_UNCAUGHT
+        CALLERS_TAKEN, CALLERS_CLOSED, REQUESTS_TAKEN, REQUESTS_CANCELLED, REQUESTS_UNUSABLE, ANSWERS_SERVED,
+        ANSWERS_REFUSED, ANSWERS_FAILED, ATTEMPTS_SENT, ATTEMPTS_CANCELLED, ENGINES_DONE, ENGINES_PAGE, ENGINES_FULL,
+        ENGINES_BROKE, ENGINES_PAST, ENGINES_NOTE, ENGINES_UNREADABLE, PROBES_SENT, PROBES_ANSWERED, PAGES_ASKED,
+        LINKS_OPENED, LINKS_CLOSED, CHANGES_QUIET, CHANGES_NEWS, CHANGES_FAILED, CONFIGURATIONS_TAKEN,
+        CONFIGURATIONS_REFUSED, ERRORS_UNCAUGHT
     }
 
     private final AtomicLongArray counts = new AtomicLongArray(Count.values().length);
@@ -28,6 +29,8 @@
     void taken(Input i) {
         if (i instanceof Input.Asked) {
             count(Count.REQUESTS_TAKEN);
+        } else if (i instanceof Input.CallerUp) {
+            count(Count.CALLERS_TAKEN);
         } else if (i instanceof Input.Withdrawn) {
             count(Count.REQUESTS_CANCELLED);
         } else if (i instanceof Input.Said s) {
@@ -53,6 +56,7 @@
                 : news instanceof EngineNews.Note ? Count.ENGINES_NOTE
                 : news instanceof EngineNews.Full ? Count.ENGINES_FULL
                 : news instanceof EngineNews.Broke ? Count.ENGINES_BROKE
+                : news instanceof EngineNews.Unreadable ? Count.ENGINES_UNREADABLE
                 : news instanceof EngineNews.Past ? Count.ENGINES_PAST : Count.PROBES_ANSWERED;
     }
 
@@ -63,6 +67,8 @@
             count(Count.ATTEMPTS_CANCELLED);
         } else if (e instanceof Effect.ReadPage) {
             count(Count.PAGES_ASKED);
+        } else if (e instanceof Effect.CloseCaller) {
+            count(Count.CALLERS_CLOSED);
         } else if (e instanceof Effect.Probe) {
             count(Count.PROBES_SENT);
         } else if (e instanceof Effect.Answer a) {
--- a/src/main/java/quincespar/program/EngineLinks.java
+++ b/src/main/java/quincespar/program/EngineLinks.java
@@ -8,6 +8,7 @@
 import java.util.function.Consumer;
 import quincespar.decision.Gateway.NoteKind;
 import quincespar.protocol.MalformedException;
+import quincespar.protocol.Utf8;
 import quincespar.protocol.resp.EngineCodec;
 import quincespar.protocol.resp.RespDecoder;
 import quincespar.routing.Effect;
@@ -21,7 +22,7 @@
 final class EngineLinks {
     private static final int OUTBOX = 4 << 20;
     private static final long OUTBOXES = 12 << 20;
-    private static final int MOST_PAGES = 4096;
+    private static final int MOST_PAGES = 64;
     /** What the settings call a report's value, and what engines may call it. */
     private static final Map<String, String> SHORT = Map.of("outstanding", "inflight", "backlog", "queue",
             "utilization", "util", "recent_ms", "latency_ms", "throughput", "qps", "errors_per_s", "eps");
@@ -39,7 +40,9 @@
     void open(Effect.OpenLink e) {
         try {
             InetSocketAddress address = Configuration.address(e.address());
-            connections.put(e.link(), Connection.dial(address, "engine-" + e.link(), bound, new Receiver(e.link())));
+            Connection c = Connection.dialled("engine-" + e.link(), bound);
+            connections.put(e.link(), c); // before its end can be told, or it would be kept for good
+            c.dial(address, new Receiver(e.link()));
         } catch (IllegalArgumentException x) { // listed at no address: as good as refused
             post.accept(new Input.LinkDown(e.link(), x.getMessage()));
         }
@@ -86,6 +89,7 @@
     private final class Receiver implements Connection.Handler {
         private final long link;
         private final RespDecoder decoder = new RespDecoder();
+        private boolean midway;
 
         Receiver(long link) {
             this.link = link;
@@ -100,11 +104,15 @@
         public void received(byte[] bytes, int count) {
             try {
                 decoder.feed(bytes, count, items -> {
-                    EngineNews news = news(EngineCodec.answer(items));
+                    EngineNews news = said(items);
                     if (news != null) {
                         post.accept(new Input.Said(link, news));
                     }
                 });
+                if (decoder.midway() != midway) {
+                    midway = decoder.midway();
+                    post.accept(new Input.Midway(link, midway));
+                }
             } catch (MalformedException e) {
                 Connection c = connections.get(link);
                 if (c != null) {
@@ -121,6 +129,19 @@
         }
     }
 
+    /**
+     * Its frame is right, so what follows it can be read whatever it holds. Whether it matters that it makes no
+     * sense depends on its id: one that nothing is open under may come ahead of a good answer.
+     */
+    private EngineNews said(List<byte[]> items) {
+        String id = Utf8.text(items.get(0));
+        try {
+            return news(EngineCodec.answer(items));
+        } catch (MalformedException e) {
+            return new EngineNews.Unreadable(id, e.getMessage());
+        }
+    }
+
     private EngineNews news(EngineCodec.Answer a) {
         return switch (a.word()) {
             case "DONE" -> {
@@ -128,9 +149,13 @@
                 if (pages < 1 || pages > MOST_PAGES) {
                     throw new MalformedException("a result of " + pages + " pages");
                 }
+                EngineCodec.requirePage(a.body());
                 yield new EngineNews.Done(a.id(), pages, a.body(), load(a));
             }
-            case "MORE" -> new EngineNews.Page(a.id(), a.number("pos"), a.body());
+            case "MORE" -> {
+                EngineCodec.requirePage(a.body());
+                yield new EngineNews.Page(a.id(), a.number("pos"), a.body());
+            }
             case "WAIT" -> new EngineNews.Full(a.id(), load(a));
             case "BROKE" -> new EngineNews.Broke(a.id(), load(a));
             case "PAST" -> new EngineNews.Past(a.id(), load(a));
--- a/src/main/java/quincespar/program/FrontEnd.java
+++ b/src/main/java/quincespar/program/FrontEnd.java
@@ -1,12 +1,9 @@
 package quincespar.program;
 
 import java.io.IOException;
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.LinkedBlockingQueue;
 import quincespar.decision.Brain;
 import quincespar.program.Lifecycle.Phase;
 import quincespar.routing.Effect;
@@ -26,7 +23,7 @@
     private final Lifecycle lifecycle = new Lifecycle();
     private final Counters counters = new Counters();
     private final Clock clock = new Clock();
-    private final BlockingQueue<Input> inputs = new LinkedBlockingQueue<>();
+    private final Intake inputs = new Intake();
     private final Timers timers = new Timers(inputs::add);
     private final Map<String, String> environment;
     private final Configuration configuration;
@@ -41,11 +38,12 @@
         this.environment = environment;
         Configuration c = Configuration.read(environment);
         configuration = c;
-        reducer = new Reducer(c.site(), new Brain(c.site().module(), c.seed()));
+        reducer = new Reducer(c.site(), c.bounds(), new Brain(c.site().module(), c.seed()));
         listener = new Listener(c.listen());
-        front = new ThriftFront(c.site(), (int) (c.sockets() * CLIENT_SHARE), clock, inputs::add, this::report);
-        engines = new EngineLinks(c.site().module().fleet().reportFields(), inputs::add);
-        changes = new ChangeLog(inputs::add);
+        front = new ThriftFront(c.site(), (int) (c.sockets() * CLIENT_SHARE), clock, counters,
+                inputs::addFromPeer, this::report);
+        engines = new EngineLinks(c.site().module().fleet().reportFields(), inputs::addFromPeer);
+        changes = new ChangeLog(inputs::addFromPeer);
     }
 
     /** Serves until told to stop and all that was taken is answered. */
@@ -56,12 +54,8 @@
         listener.start(front::accept);
         lifecycle.enter(Phase.SERVING);
         System.err.println(configuration.name() + ": serving on " + configuration.listen());
-        List<Input> batch = new ArrayList<>();
         while (lifecycle.phase() != Phase.STOPPED) {
-            batch.add(inputs.take());
-            inputs.drainTo(batch);
-            step(batch);
-            batch.clear();
+            step(inputs.take());
             if (lifecycle.phase() == Phase.FINISHING && reducer.open() == 0) {
                 stop();
             }
@@ -98,7 +92,7 @@
         front.finish();
         double until = clock.now() + FLUSH_MS;
         while (front.connections() > 0 && clock.now() < until) {
-            inputs.poll(10, java.util.concurrent.TimeUnit.MILLISECONDS);
+            inputs.take(10);
         }
         lifecycle.enter(Phase.STOPPED);
     }
@@ -107,7 +101,7 @@
         try {
             batch.forEach(counters::taken);
             perform(reducer.step(clock.now(), batch));
-        } catch (RuntimeException e) { // nothing that comes from a peer may end the program
+        } catch (RuntimeException | OutOfMemoryError e) { // nothing that comes from a peer may end the program
             uncaught("in the reducer", e);
         }
     }
@@ -117,13 +111,13 @@
             counters.done(e);
             try {
                 perform(e);
-            } catch (RuntimeException x) { // one effect that fails must not keep back the others of its step
-                uncaught("performing " + e, x);
+            } catch (RuntimeException | OutOfMemoryError x) { // one effect that fails must not keep back the others of its step
+                uncaught("performing " + e.getClass().getSimpleName(), x);
             }
         }
     }
 
-    private void uncaught(String where, RuntimeException e) {
+    private void uncaught(String where, Throwable e) {
         System.err.println(configuration.name() + ": " + where + ":");
         e.printStackTrace();
         counters.count(Counters.Count.ERRORS_UNCAUGHT);
@@ -154,6 +148,10 @@
             engines.probe(e);
         } else if (effect instanceof Effect.Poll e) {
             changes.poll(e);
+        } else if (effect instanceof Effect.CloseCaller e) {
+            front.close(e);
+        } else if (effect instanceof Effect.Uncaught e) {
+            uncaught(e.where(), e.error());
         } else if (effect instanceof Effect.Reread e) {
             Threads.daemon("reread", () -> reread(e.serial())).start();
         } else if (effect instanceof Effect.DropPoll) {
@@ -166,6 +164,9 @@
     private Map<String, String> report() {
         Map<String, String> all = new LinkedHashMap<>(counters.all());
         all.put("phase", lifecycle.phase().name().toLowerCase(java.util.Locale.ROOT));
+        reducer.held().forEach((name, n) -> all.put(name, n.toString()));
+        all.put("held.timers", Integer.toString(timers.size()));
+        all.put("held.inputs", Integer.toString(inputs.size()));
         all.put("requests.open", Integer.toString(reducer.open()));
         all.put("clients.connected", Integer.toString(front.connections()));
         all.put("engines.connected", Integer.toString(engines.size()));
--- a/src/main/java/quincespar/program/ThriftFront.java
+++ b/src/main/java/quincespar/program/ThriftFront.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -18,6 +19,7 @@
 import quincespar.protocol.thrift.FrontCodec;
 import quincespar.protocol.thrift.Message;
 import quincespar.routing.Caller;
+import quincespar.routing.Effect;
 import quincespar.routing.Front;
 import quincespar.routing.Input;
 import quincespar.routing.Query;
@@ -28,7 +30,11 @@
 
 /** The clients' protocol: Thrift in frames. One session for each connection reads it and words the replies. */
 final class ThriftFront implements Front {
-    private static final Pattern TXN = Pattern.compile("[0-9a-fA-F]{16}");
+    private static final Pattern TXN = Pattern.compile("[0-9a-f]{16}");
+    /** Up to ten million: more milliseconds or megabytes no request has. */
+    private static final Pattern FIGURE = Pattern.compile("[0-9]{1,7}(\\.[0-9]{1,9})?");
+    /** Times the class's deadline: usual clients have been seen to wait some milliseconds longer than that. */
+    private static final double LONGEST = 2;
     private static final int MOST_OPEN = 32;
     /** All open answers of a connection at their longest: a slow reader may lag, but not hold more than this. */
     private static final int OUTBOX = MOST_OPEN * 50_000;
@@ -39,37 +45,49 @@
     private final AtomicLong numbers = new AtomicLong();
     private final Map<String, Integer> classes = new HashMap<>();
     private final Map<String, Integer> tenants = new HashMap<>();
+    private final double[] longest;
     private final Clock clock;
+    private final Counters counters;
     private final Consumer<Input> post;
     private final Supplier<Map<String, String>> report;
-    private final int mostConnections;
+    private final Semaphore places;
 
-    ThriftFront(Site site, int mostConnections, Clock clock, Consumer<Input> post,
+    ThriftFront(Site site, int mostConnections, Clock clock, Counters counters, Consumer<Input> post,
             Supplier<Map<String, String>> report) {
         List<Gateway.ClassSpec> specs = site.module().classes();
+        longest = new double[specs.size()];
         for (int i = 0; i < specs.size(); i++) {
+            longest[i] = LONGEST * specs.get(i).deadline();
             classes.put(specs.get(i).name(), i);
         }
         for (int i = 0; i < site.module().tenants().size(); i++) {
             tenants.put(site.module().tenants().get(i).name(), i);
         }
-        this.mostConnections = mostConnections;
+        places = new Semaphore(mostConnections);
         this.clock = clock;
+        this.counters = counters;
         this.post = post;
         this.report = report;
     }
 
-    /** Takes a connection that was accepted. */
+    /**
+     * Takes a connection that was accepted. Descriptors are kept for engines and the change log: with no place left
+     * the caller waits, and new clients in the system's queue, until the reducer has closed whom it can spare.
+     */
     void accept(Socket socket) {
+        places.acquireUninterruptibly();
         long number = numbers.incrementAndGet();
-        Connection c = Connection.accepted(socket, "client-" + number, bound);
-        if (sessions.size() >= mostConnections) { // descriptors are kept for engines and the change log
-            c.close("too many connections");
-            return;
-        }
-        Session s = new Session(number, c);
+        Session s = new Session(number, Connection.accepted(socket, "client-" + number, bound));
         sessions.put(number, s);
-        c.start(s);
+        post.accept(new Input.CallerUp(number));
+        s.connection.start(s);
+    }
+
+    void close(Effect.CloseCaller e) {
+        Session s = sessions.get(e.connection());
+        if (s != null) {
+            s.connection.close(e.why());
+        }
     }
 
     int connections() {
@@ -112,6 +130,8 @@
         private final Connection connection;
         private final FrameDecoder frames = new FrameDecoder();
         private final Set<Integer> open = ConcurrentHashMap.newKeySet();
+        private int last;
+        private boolean ending;
 
         Session(long number, Connection connection) {
             this.number = number;
@@ -131,6 +151,7 @@
             try {
                 frames.feed(bytes, count, f -> message(FrontCodec.read(f), at));
             } catch (MalformedException e) {
+                counters.count(Counters.Count.REQUESTS_UNUSABLE);
                 connection.close("malformed: " + e.getMessage());
             }
         }
@@ -138,10 +159,25 @@
         @Override
         public void closed(String cause) {
             sessions.remove(number);
+            places.release();
             post.accept(new Input.CallerGone(number));
         }
 
+        /**
+         * The last word to a client that sent what can't be used: it is told, and closed. Guards against one that
+         * sends the same again as soon as it is turned away, at full speed and for good.
+         */
+        private void end(byte[] word) {
+            ending = true;
+            counters.count(Counters.Count.REQUESTS_UNUSABLE);
+            connection.send(word);
+            connection.finish();
+        }
+
         private void message(Message m, double at) {
+            if (ending) {
+                return;
+            }
             Caller caller = new Caller(number, m.seqid());
             if (m instanceof Message.Call c) {
                 call(caller, c, at);
@@ -151,16 +187,22 @@
             } else if (m instanceof Message.Health) {
                 post.accept(new Input.HealthAsked(caller));
             } else if (m instanceof Message.Wrong w) {
-                connection.send(FrontCodec.exception(w.seqid(), w.type(), w.why()));
+                end(FrontCodec.exception(w.seqid(), w.type(), w.why()));
             }
         }
 
         private void call(Caller caller, Message.Call c, double at) {
+            if (c.seqid() <= last) { // numbers count up: a second answer under one could pass for the first
+                counters.count(Counters.Count.REQUESTS_UNUSABLE);
+                connection.close("number " + c.seqid() + " was used before");
+                return;
+            }
+            last = c.seqid();
             Query query;
             try {
                 query = query(c);
             } catch (MalformedException e) {
-                connection.send(FrontCodec.exception(c.seqid(), FrontCodec.INTERNAL, e.getMessage()));
+                end(FrontCodec.exception(c.seqid(), FrontCodec.INTERNAL, e.getMessage()));
                 return;
             }
             if (open.size() >= MOST_OPEN || !open.add(c.seqid())) {
@@ -191,28 +233,28 @@
         if (tenant == null) {
             throw new MalformedException("no tenant '" + f.get("team") + "'");
         }
-        double limit = number(f, "limit", Double.NaN);
-        if (!(limit > 0)) {
-            throw new MalformedException("field limit is missing or not above 0");
+        double limit = number(f, "limit");
+        if (limit <= 0 || limit > longest[cls]) {
+            throw new MalformedException("field limit is out of bounds");
+        }
+        String second = f.get("second");
+        if (second != null && !second.equals("1") && !second.equals("0")) {
+            throw new MalformedException("field second is not 1");
+        }
+        if (c.body().length == 0) {
+            throw new MalformedException("no statement");
         }
         Utf8.text(c.body()); // a statement that is no text can't be used
-        return new Query(txn, cls, tenant, limit, "1".equals(f.get("second")), number(f, "cpu", Double.NaN),
-                number(f, "heap_mb", 0), StatementScan.group(c.body()), c.body());
+        return new Query(txn, cls, tenant, limit, "1".equals(second), number(f, "cpu"), number(f, "heap_mb"),
+                StatementScan.group(c.body()), c.body());
     }
 
-    private static double number(Map<String, String> fields, String name, double absent) {
+    /** A figure that must be there: engines can't use a request without. Plain digits, as nothing else is sent. */
+    private static double number(Map<String, String> fields, String name) {
         String v = fields.get(name);
-        if (v == null) {
-            return absent;
-        }
-        try {
-            double n = Double.parseDouble(v);
-            if (n >= 0 && n < 1e12) {
-                return n;
-            }
-        } catch (NumberFormatException e) {
-            throw new MalformedException("field " + name + " is no number");
+        if (v == null || !FIGURE.matcher(v).matches()) {
+            throw new MalformedException("field " + name + " is missing or no number");
         }
-        throw new MalformedException("field " + name + " is out of bounds");
+        return Double.parseDouble(v);
     }
 }
--- a/src/main/java/quincespar/program/Timers.java
+++ b/src/main/java/quincespar/program/Timers.java
@@ -42,6 +42,10 @@
         }
     }
 
+    synchronized int size() {
+        return running.size();
+    }
+
     /** Runs a step of the program's own after a delay. */
     void after(double delayMs, Runnable step) {
         executor.schedule(step, (long) delayMs, TimeUnit.MILLISECONDS);
--- a/src/main/java/quincespar/program/Warmup.java
+++ b/src/main/java/quincespar/program/Warmup.java
@@ -48,7 +48,7 @@
     }
 
     void run() {
-        Reducer scratch = new Reducer(configuration.site(),
+        Reducer scratch = new Reducer(configuration.site(), configuration.bounds(),
                 new Brain(configuration.site().module(), configuration.seed()));
         long until = System.nanoTime() + (long) (BUDGET_MS * 1e6);
         now = System.currentTimeMillis();
--- a/src/main/java/quincespar/protocol/resp/EngineCodec.java
+++ b/src/main/java/quincespar/protocol/resp/EngineCodec.java
@@ -10,6 +10,9 @@
 
 /** The engines' commands and answers, as RESP arrays of bulk strings. */
 public final class EngineCodec {
+    private static final int LONGEST_PAGE = 6000;
+    private static final int COLUMNS = 3;
+
     private EngineCodec() { }
 
     /** An answer of an engine: {@code word} is one of the protocol's, or an unknown one as it came. */
@@ -59,6 +62,31 @@
                 items.size() > 2 ? fields(Utf8.text(items.get(2))) : Map.of(), body);
     }
 
+    /**
+     * Judges a page by its shape: text in whole rows of three columns, within its bound. What arrives spoilt may
+     * still stand in a good frame, and passed on it would be an answer that no engine made.
+     */
+    public static void requirePage(byte[] page) {
+        if (page.length > LONGEST_PAGE) {
+            throw new MalformedException("a page of " + page.length + " bytes");
+        }
+        int tabs = 0;
+        for (byte b : page) {
+            if (b == '\n') {
+                if (tabs != COLUMNS - 1) {
+                    throw new MalformedException("a row of " + (tabs + 1) + " columns");
+                }
+                tabs = 0;
+            } else if (b == '\t') {
+                tabs++;
+            }
+        }
+        if (tabs != 0 || page.length > 0 && page[page.length - 1] != '\n') {
+            throw new MalformedException("a row that does not end");
+        }
+        Utf8.text(page);
+    }
+
     private static Map<String, String> fields(String s) {
         Map<String, String> out = new LinkedHashMap<>();
         if (s.equals("-") || s.isEmpty()) {
--- a/src/main/java/quincespar/protocol/resp/RespDecoder.java
+++ b/src/main/java/quincespar/protocol/resp/RespDecoder.java
@@ -30,6 +30,11 @@
         }
     }
 
+    /** Whether a message has begun and is not yet whole. */
+    public boolean midway() {
+        return expected >= 0 || buffer.size() > 0;
+    }
+
     private boolean advance() {
         if (length >= 0) {
             if (buffer.size() < length + 2) {
--- a/src/main/java/quincespar/protocol/thrift/FrameDecoder.java
+++ b/src/main/java/quincespar/protocol/thrift/FrameDecoder.java
@@ -6,7 +6,7 @@
 
 /** Takes bytes as they come and hands on the content of each whole frame. */
 public final class FrameDecoder {
-    private static final int LONGEST = 1 << 20;
+    private static final int LONGEST = 64 * 1024;
 
     private final Buffer buffer = new Buffer();
 
--- a/src/main/java/quincespar/routing/Attempt.java
+++ b/src/main/java/quincespar/routing/Attempt.java
@@ -54,11 +54,16 @@
         add(0, first);
     }
 
-    void add(int number, byte[] page) {
-        if (number >= 0 && number < pages.length && pages[number] == null) {
+    /** False where there is no such page; a second copy of one is passed over. */
+    boolean add(int number, byte[] page) {
+        if (number < 0 || number >= pages.length) {
+            return false;
+        }
+        if (pages[number] == null) {
             pages[number] = page;
             missing--;
         }
+        return true;
     }
 
     boolean whole() {
--- a/src/main/java/quincespar/routing/Effect.java
+++ b/src/main/java/quincespar/routing/Effect.java
@@ -10,6 +10,9 @@
     /** Say whether requests can be served. */
     record AnswerHealth(Caller caller, boolean canServe) implements Effect { }
 
+    /** Close a client's connection at once. */
+    record CloseCaller(long connection, String why) implements Effect { }
+
     /** Connect to an engine. */
     record OpenLink(long link, String address) implements Effect { }
 
@@ -47,6 +50,9 @@
     /** Give up what is asked of the change log. */
     record DropPoll() implements Effect { }
 
+    /** Something went wrong in here that ought not to: tell the operators, and go on. */
+    record Uncaught(String where, RuntimeException error) implements Effect { }
+
     /** Tell the operators. */
     record Log(String line) implements Effect { }
 }
--- a/src/main/java/quincespar/routing/EngineNews.java
+++ b/src/main/java/quincespar/routing/EngineNews.java
@@ -26,6 +26,9 @@
     /** Not yet over. */
     record Note(String id, NoteKind kind, double value) implements EngineNews { }
 
+    /** An answer in its frame that makes no sense. */
+    record Unreadable(String id, String why) implements EngineNews { }
+
     /** What a probe found. */
     record Health(String id, boolean fit, List<Double> load) implements EngineNews { }
 }
--- /dev/null
+++ b/src/main/java/quincespar/routing/Fronts.java
@@ -0,0 +1,80 @@
+package quincespar.routing;
+
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Set;
+
+/** The clients' connections as the reducer sees them: what is open on each, and which could be spared. */
+final class Fronts {
+    /** A client's connection. */
+    static final class FrontLink {
+        final long id;
+        final Set<OpenRequest> open = new LinkedHashSet<>();
+
+        FrontLink(long id) {
+            this.id = id;
+        }
+    }
+
+    private final Map<Long, FrontLink> all = new HashMap<>();
+    /** Those that have not asked anything yet, and those with nothing open: the longest so come first. */
+    private final Set<FrontLink> silent = new LinkedHashSet<>(), idle = new LinkedHashSet<>();
+
+    int size() {
+        return all.size();
+    }
+
+    FrontLink get(long id) {
+        return all.get(id);
+    }
+
+    void up(long id) {
+        FrontLink f = new FrontLink(id);
+        if (all.putIfAbsent(id, f) == null) {
+            silent.add(f);
+        }
+    }
+
+    void opened(OpenRequest r) {
+        FrontLink f = all.computeIfAbsent(r.caller.connection(), FrontLink::new);
+        silent.remove(f);
+        idle.remove(f);
+        f.open.add(r);
+    }
+
+    /** True where this was the last one open on its connection. */
+    boolean closed(OpenRequest r) {
+        FrontLink f = all.get(r.caller.connection());
+        if (f == null || !f.open.remove(r) || !f.open.isEmpty()) {
+            return false;
+        }
+        idle.add(f);
+        return true;
+    }
+
+    FrontLink remove(long id) {
+        FrontLink f = all.remove(id);
+        silent.remove(f);
+        idle.remove(f);
+        return f;
+    }
+
+    /**
+     * Whom to close so that the newest may stay: one that has said nothing, else one with nothing open, the
+     * longest so first; the newest itself only where all others have requests open.
+     */
+    long spare(long newest) {
+        for (Set<FrontLink> some : java.util.List.of(silent, idle)) {
+            Iterator<FrontLink> i = some.iterator();
+            while (i.hasNext()) {
+                long id = i.next().id;
+                if (id != newest) {
+                    return id;
+                }
+            }
+        }
+        return newest;
+    }
+}
--- a/src/main/java/quincespar/routing/Input.java
+++ b/src/main/java/quincespar/routing/Input.java
@@ -5,6 +5,9 @@
 
 /** Something that happened outside the reducer. */
 public sealed interface Input {
+    /** A client has connected. */
+    record CallerUp(long connection) implements Input { }
+
     /** A client's request has come whole; {@code at} is when its last byte did. */
     record Asked(Caller caller, Query query, double at) implements Input { }
 
@@ -26,6 +29,9 @@
     /** An engine has said something. */
     record Said(long link, EngineNews news) implements Input { }
 
+    /** An engine's message has begun and not ended, or has ended. */
+    record Midway(long link, boolean unfinished) implements Input { }
+
     /** The cancel of an attempt has been written. */
     record CancelWritten(AttemptKey key) implements Input { }
 
--- a/src/main/java/quincespar/routing/Reducer.java
+++ b/src/main/java/quincespar/routing/Reducer.java
@@ -1,6 +1,7 @@
 package quincespar.routing;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -27,6 +28,12 @@
     /** Links are closed here well before their engines close them, so that no send meets such a close. */
     private static final double IDLE_SHARE = 0.6;
     private static final double SUSPECT = 2000;
+    /** A client that has sent no whole request by then is closed; it is owed an answer or a close within 3 s. */
+    private static final double FIRST_WORD = 2000;
+    /** Connections with nothing open go after this: some clients ask once and keep theirs for good. */
+    private static final double IDLE_CLIENT = 2500;
+    /** How long the rest of an engine's message may take: behind one that stops short nothing more comes. */
+    private static final double MIDWAY = 500;
     private static final int MOST_LINKS = 8;
     /** A poll is shorter than the protocol allows: one lost in silence is then noticed within the 7 s. */
     private static final long POLL = 2000;
@@ -35,10 +42,14 @@
     private static final int MOST_BYTES = 48_000;
 
     private final Site site;
+    private final Bounds bounds;
     private final Gateway gateway;
     private final Fleet fleet;
     private final Map<Long, OpenRequest> requests = new LinkedHashMap<>();
     private final Map<Caller, OpenRequest> callers = new LinkedHashMap<>();
+    /** By the client's name for it, until nothing of it is out: an engine knows it by that name only. */
+    private final Map<String, OpenRequest> names = new HashMap<>();
+    private final Fronts fronts = new Fronts();
     private final Map<Long, Link> links = new LinkedHashMap<>();
     private final Map<String, Link> probes = new LinkedHashMap<>();
     private List<Effect> effects = new ArrayList<>();
@@ -53,8 +64,9 @@
     private boolean tickAsked;
 
     /** A reducer round one module. */
-    public Reducer(Site site, Gateway gateway) {
+    public Reducer(Site site, Bounds bounds, Gateway gateway) {
         this.site = site;
+        this.bounds = bounds;
         this.gateway = gateway;
         fleet = new Fleet(site);
     }
@@ -72,7 +84,13 @@
     /** Takes what happened by {@code time}, in order; answers what is to be done. */
     public List<Effect> step(double time, List<Input> inputs) {
         now = Math.max(now, time);
-        inputs.forEach(this::take);
+        for (Input i : inputs) {
+            try {
+                take(i);
+            } catch (RuntimeException e) { // one input that fails must not lose the rest of its batch
+                effects.add(new Effect.Uncaught("taking " + i.getClass().getSimpleName(), e));
+            }
+        }
         return decide();
     }
 
@@ -81,6 +99,18 @@
         return callers.size();
     }
 
+    /** What is held, by name, for the counters. */
+    public Map<String, Integer> held() {
+        Map<String, Integer> out = new LinkedHashMap<>();
+        out.put("held.requests", requests.size());
+        out.put("held.names", names.size());
+        out.put("held.callers", fronts.size());
+        out.put("held.links", links.size());
+        out.put("held.probes", probes.size());
+        out.put("held.engines", fleet.all().size());
+        return out;
+    }
+
     /**
      * Lets the module decide, at most once a tick as in the simulator: it looks at all that it holds each time,
      * and asked at each input it would fill the one core, so that answers come late.
@@ -98,8 +128,10 @@
         while (!events.isEmpty()) { // an attempt that ends at once is an event in its turn
             List<Event> batch = events;
             events = new ArrayList<>();
-            for (Action a : gateway.decide(now, batch)) {
-                carryOut(a);
+            try {
+                gateway.decide(now, batch).forEach(this::carryOut);
+            } catch (RuntimeException e) { // what is open then still has its timers
+                effects.add(new Effect.Uncaught("deciding", e));
             }
         }
         return taken();
@@ -130,7 +162,15 @@
         } else if (i instanceof Input.Withdrawn x) {
             left(x.caller());
         } else if (i instanceof Input.CallerGone x) {
-            List.copyOf(callers.keySet()).stream().filter(c -> c.connection() == x.connection()).forEach(this::left);
+            gone(x.connection());
+        } else if (i instanceof Input.CallerUp x) {
+            callerUp(x.connection());
+        } else if (i instanceof Input.Midway x && links.containsKey(x.link())) {
+            if (x.unfinished()) {
+                startTimer(new TimerKey.Midway(x.link()), MIDWAY);
+            } else {
+                effects.add(new Effect.StopTimer(new TimerKey.Midway(x.link())));
+            }
         } else if (i instanceof Input.HealthAsked x) {
             effects.add(new Effect.AnswerHealth(x.caller(), fleet.canServe()));
         } else if (i instanceof Input.Changes x) {
@@ -149,12 +189,46 @@
 
     // ---- requests ----------------------------------------------------------------------------------------
 
+    private void callerUp(long connection) {
+        fronts.up(connection);
+        startTimer(new TimerKey.Front(connection), FIRST_WORD);
+        if (fronts.size() > bounds.callers()) {
+            long spare = fronts.spare(connection);
+            closeCaller(spare, spare == connection ? "too many connections" : "its place is needed");
+        }
+    }
+
+    private void closeCaller(long connection, String why) {
+        effects.add(new Effect.CloseCaller(connection, why));
+        gone(connection);
+    }
+
+    private void gone(long connection) {
+        effects.add(new Effect.StopTimer(new TimerKey.Front(connection)));
+        Fronts.FrontLink f = fronts.remove(connection);
+        if (f != null) {
+            List.copyOf(f.open).forEach(r -> left(r.caller));
+        }
+    }
+
     private void asked(Input.Asked x) {
         Query q = x.query();
+        if (callers.containsKey(x.caller()) || names.containsKey(q.txn())) {
+            // an engine would take the one for the other, and so might we take its answer
+            effects.add(new Effect.Answer(x.caller(), new Reply.Failed()));
+            return;
+        }
+        if (callers.size() >= bounds.requests()) { // before it is known to anyone: it never ran
+            effects.add(new Effect.Answer(x.caller(), new Reply.Refused(0)));
+            return;
+        }
         double margin = Math.min(MARGIN, q.limitMs() / 10);
         OpenRequest r = new OpenRequest(++serial, x.caller(), q, x.at() + q.limitMs() - margin);
         requests.put(r.id, r);
         callers.put(r.caller, r);
+        names.put(q.txn(), r);
+        fronts.opened(r);
+        effects.add(new Effect.StopTimer(new TimerKey.Front(r.caller.connection())));
         startTimer(new TimerKey.Request(r.id), x.at() + q.limitMs() - Math.min(LAST, margin / 4) - now);
         events.add(new Gateway.Request(r.id, q.cls(), q.tenant(), Math.max(0, r.until - now), q.work(),
                 q.memory(), q.tables(), 0, q.repeat(), site.module().classes().get(q.cls()).loads()));
@@ -179,6 +253,9 @@
     private void close(OpenRequest r) {
         r.over = true;
         callers.remove(r.caller);
+        if (fronts.closed(r)) {
+            startTimer(new TimerKey.Front(r.caller.connection()), IDLE_CLIENT);
+        }
         effects.add(new Effect.StopTimer(new TimerKey.Request(r.id)));
         forget(r);
     }
@@ -186,6 +263,7 @@
     private void forget(OpenRequest r) {
         if (r.over && !r.running()) {
             requests.remove(r.id);
+            names.remove(r.query.txn(), r);
             r.attempts.stream().filter(a -> a.link != null).forEach(a -> a.link.abandoned.remove(r.query.txn()));
         }
     }
@@ -308,6 +386,12 @@
         }
         l.heardAt = now;
         EngineNews news = x.news();
+        if (news instanceof EngineNews.Unreadable u) {
+            if (l.open.containsKey(u.id())) { // under an id that is not open it is no news, readable or not
+                drop(l, "malformed: " + u.why());
+            }
+            return;
+        }
         if (news instanceof EngineNews.Health h) {
             probed(h.id(), h.fit(), h.load());
             return;
@@ -321,12 +405,15 @@
         } else if (news instanceof EngineNews.Done d) {
             done(a, d);
         } else if (news instanceof EngineNews.Page p && a.done()) {
-            a.add(p.number(), p.page());
-            serveIfWhole(a);
-        } else if (news instanceof EngineNews.Full f) {
+            if (a.add(p.number(), p.page())) {
+                serveIfWhole(a);
+            } else {
+                drop(l, "page " + p.number() + " of " + a.pageCount());
+            }
+        } else if (news instanceof EngineNews.Full f && !a.done()) { // said after DONE it proves nothing
             a.load = f.load();
             end(a, Outcome.FULL);
-        } else if (news instanceof EngineNews.Past p) {
+        } else if (news instanceof EngineNews.Past p && !a.done()) {
             a.load = p.load();
             end(a, Outcome.MOOT);
         } else if (news instanceof EngineNews.Broke b) {
@@ -440,6 +527,7 @@
         l.engine.links.remove(l);
         effects.add(new Effect.StopTimer(new TimerKey.Connect(l.id)));
         effects.add(new Effect.StopTimer(new TimerKey.Idle(l.id)));
+        effects.add(new Effect.StopTimer(new TimerKey.Midway(l.id)));
         for (Attempt a : List.copyOf(l.open.values())) {
             boolean neverRan = a.passage.revoke();
             end(a, neverRan ? Outcome.CONNECT_FAILED : a.givenUp != null ? a.givenUp
@@ -587,6 +675,12 @@
             if (links.get(k.link()).idle()) {
                 drop(links.get(k.link()), "idle");
             }
+        } else if (key instanceof TimerKey.Midway k && links.containsKey(k.link())) {
+            drop(links.get(k.link()), "an answer that stopped short"); // what else is open there waits in vain
+        } else if (key instanceof TimerKey.Front k && fronts.get(k.connection()) != null) {
+            if (fronts.get(k.connection()).open.isEmpty()) {
+                closeCaller(k.connection(), "nothing open");
+            }
         } else if (key instanceof TimerKey.Probe k) {
             probed(k.tag(), false, List.of());
         } else if (key instanceof TimerKey.Poll k && k.serial() == poll) {
--- a/src/main/java/quincespar/routing/TimerKey.java
+++ b/src/main/java/quincespar/routing/TimerKey.java
@@ -8,6 +8,12 @@
     /** The module asked to be woken. */
     record Module(int token, long serial) implements TimerKey { }
 
+    /** A client's connection has had nothing open for a while, or has not yet said anything. */
+    record Front(long connection) implements TimerKey { }
+
+    /** An engine's message that has begun ought to be whole by now. */
+    record Midway(long link) implements TimerKey { }
+
     /** A request's client waits no longer. */
     record Request(long id) implements TimerKey { }
 
--- a/src/main/java/quincespar/transport/Connection.java
+++ b/src/main/java/quincespar/transport/Connection.java
@@ -9,6 +9,7 @@
 /**
  * One TCP connection: a thread that reads, a thread that writes, and a bounded outbox between the writer and
  * whoever sends, so that a peer that does not read holds up its own writer only. It knows bytes and nothing else.
+ * The writer starts with the first frame: hundreds of peers that connect and say nothing must not have one each.
  */
 public final class Connection {
     /** What the owner is told, on this connection's threads. */
@@ -19,7 +20,7 @@
         /** Bytes came; the array is used again after the call. */
         void received(byte[] bytes, int count);
 
-        /** The connection is over and nothing more goes out; told once, last of all. */
+        /** The connection is over, nothing more goes out and nothing more is handed on; told once, last of all. */
         void closed(String cause);
     }
 
@@ -34,6 +35,10 @@
     private final AtomicBoolean shut = new AtomicBoolean();
     private Handler handler;
     private int pending;
+    /** Threads of this connection that have not ended; the last one tells of the end. */
+    private int running;
+    private boolean ready;
+    private boolean writing;
     private boolean finishing;
     private boolean over;
     private String cause = "closed here";
@@ -49,19 +54,39 @@
         return new Connection(socket, name, bound);
     }
 
+    /** A connection that is not yet dialled; what is sent before it is up waits in the outbox. */
+    public static Connection dialled(String name, OutboxBound bound) {
+        return new Connection(new Socket(), name, bound);
+    }
+
     /** Begins to connect on a thread of its own; the handler hears {@code opened} or {@code closed}. */
-    public static Connection dial(InetSocketAddress address, String name, OutboxBound bound, Handler handler) {
-        Connection c = new Connection(new Socket(), name, bound);
-        c.handler = handler;
-        c.thread("read", () -> c.connect(address)).start();
-        return c;
+    public void dial(InetSocketAddress address, Handler to) {
+        handler = to;
+        begin(() -> connect(address));
     }
 
-    /** Starts both threads of an accepted connection. */
+    /** Starts to read an accepted connection. */
     public void start(Handler to) {
         handler = to;
-        thread("write", this::writeAll).start();
-        thread("read", this::readAll).start();
+        begin(this::readAll);
+    }
+
+    private void begin(Runnable reading) {
+        synchronized (outbox) {
+            running++;
+        }
+        try {
+            thread("read", () -> {
+                try {
+                    reading.run();
+                } finally {
+                    left();
+                }
+            }).start();
+        } catch (OutOfMemoryError e) { // no thread is to be had: as good as a connection that broke
+            close("no thread: " + e.getMessage());
+            left();
+        }
     }
 
     /** Queues a frame; false where the outbox is full or the connection over, and then nothing goes out. */
@@ -77,11 +102,42 @@
             }
             pending += bytes.length;
             outbox.add(new Frame(bytes, passage, written));
-            outbox.notifyAll();
+            write();
             return true;
         }
     }
 
+    /** Wakes the writer, or starts it where the socket is up and there is none yet. Called with the lock. */
+    private void write() {
+        if (writing) {
+            outbox.notifyAll();
+        } else if (ready && !over) {
+            try {
+                thread("write", () -> {
+                    try {
+                        writeAll();
+                    } finally {
+                        left();
+                    }
+                }).start();
+                writing = true;
+                running++;
+            } catch (OutOfMemoryError e) {
+                close("no thread: " + e.getMessage());
+            }
+        }
+    }
+
+    /** The socket is up: what waits may go out. */
+    private void up() {
+        synchronized (outbox) {
+            ready = true;
+            if (finishing || !outbox.isEmpty()) {
+                write();
+            }
+        }
+    }
+
     /** Closes at once; what is queued is dropped. */
     public void close(String why) {
         if (!shut.compareAndSet(false, true)) {
@@ -99,7 +155,7 @@
     public void finish() {
         synchronized (outbox) {
             finishing = true;
-            outbox.notifyAll();
+            write();
         }
     }
 
@@ -121,17 +177,16 @@
             socket.connect(address);
         } catch (IOException e) {
             close("connect: " + e.getMessage());
-            ended();
             return;
         }
         handler.opened();
-        thread("write", this::writeAll).start();
         readAll();
     }
 
     private void readAll() {
-        byte[] chunk = new byte[CHUNK];
+        up();
         try {
+            byte[] chunk = new byte[CHUNK];
             int n = socket.getInputStream().read(chunk);
             while (n >= 0) {
                 handler.received(chunk, n);
@@ -140,7 +195,8 @@
             close("closed by the peer");
         } catch (IOException e) {
             close("read: " + e.getMessage());
-        } catch (RuntimeException e) { // what a peer sends must end its own connection at most
+        } catch (RuntimeException | OutOfMemoryError | StackOverflowError e) {
+            // what a peer sends must end its own connection at most
             System.err.println(name + ": " + e);
             close("handling: " + e.getMessage());
         }
@@ -172,17 +228,27 @@
             close("finished");
         } catch (IOException e) {
             close("write: " + e.getMessage());
+        } catch (OutOfMemoryError e) {
+            close("writing: " + e.getMessage());
         } catch (InterruptedException e) {
             close("interrupted");
         }
-        ended();
     }
 
-    /** The end, however far it came: what is still queued frees its room in the bound that others share. */
-    private void ended() {
+    /**
+     * A thread has ended. With the last one, however far it came, what is still queued frees its room in the bound
+     * that others share, and the owner is told. Not before: a reader may still be handing on what it read.
+     */
+    private void left() {
         synchronized (outbox) {
+            running--;
+            if (running > 0) {
+                return;
+            }
+            over = true;
             outbox.clear();
             bound.give(pending);
+            pending = 0;
         }
         handler.closed(cause);
     }
--- a/src/main/java/quincespar/transport/Listener.java
+++ b/src/main/java/quincespar/transport/Listener.java
@@ -8,7 +8,7 @@
 
 /** Accepts connections on one address until it is closed. */
 public final class Listener {
-    private static final int BACKLOG = 256;
+    private static final int BACKLOG = 1024;
     private static final long PAUSE_MS = 20;
 
     private final ServerSocket socket = new ServerSocket();
--- a/src/test/java/quincespar/decision/MechanismTest.java
+++ b/src/test/java/quincespar/decision/MechanismTest.java
@@ -53,10 +53,42 @@
             r.tell(Rig.ask(100 + i, i % 2));
             r.after(i % 2 == 0 ? 400 : 40, Rig.end(100 + i, 0, 10, Outcome.OK, i % 2 == 0 ? 400 : 40));
         }
-        r.fill(0);
+        r.fill(1);
         r.tell(Rig.ask(2, 0));
         r.after(20, Rig.ask(3, 1));
-        assertEquals(3, Rig.sends(r.after(60, Rig.end(9000, 0, 10, Outcome.OK, 80))).get(0).id());
+        assertEquals(3, Rig.sends(r.after(60, Rig.end(9000, 0, 10, Outcome.OK, 40))).get(0).id());
+    }
+
+    @Test
+    void theClassOfTheLargestValueDoesNotWaitForOthersThatFillTheBound() {
+        Rig r = two();
+        r.routers = 2; // four cores
+        r.start(Rig.ready(10));
+        r.fill(0);
+        assertEquals(List.of(2L), Rig.sends(r.tell(Rig.ask(2, 1), Rig.ask(3, 0))).stream().map(Send::id).toList());
+    }
+
+    @Test
+    void theBoundIsNotCutUnderAThreadForEachCoreOfItsPart() {
+        Rig r = new Rig();
+        r.routers = 2;
+        r.classes.add(Rig.safe("a", 3000, 1));
+        r.start(Rig.ready(10));
+        depth(r, 50, 10);
+        assertEquals(4, depth(r, 2000, 40), "half of eight cores, however slow");
+    }
+
+    @Test
+    void aStretchThatIsLongPastDoesNotKeepTheBoundFromWidening() {
+        Rig r = two();
+        r.routers = 2;
+        r.start(Rig.ready(10));
+        for (int i = 0; i < 8; i++) { // the dear class was quick and then slow, and is not asked for any more
+            r.tell(Rig.ask(i, 1));
+            r.after(i < 4 ? 20 : 80, Rig.end(i, 0, 10, Outcome.OK, i < 4 ? 20 : 80));
+        }
+        r.now += 20_000;
+        assertTrue(depth(r, 50, 40) > 8, "widened by the other class");
     }
 
     @Test
--- a/src/test/java/quincespar/decision/WordsTest.java
+++ b/src/test/java/quincespar/decision/WordsTest.java
@@ -133,6 +133,7 @@
         int[] room = new int[2];
         for (int stall = 0; stall < 2; stall++) {
             Rig r = new Rig();
+            r.routers = 8; // a part of one core, under which no bound is cut
             r.classes.add(Rig.safe("light", 1000, 1));
             r.start(Rig.ready(10));
             long id = 1;
--- a/src/test/java/quincespar/program/Peers.java
+++ b/src/test/java/quincespar/program/Peers.java
@@ -175,6 +175,12 @@
             return FrontCodec.readAnswer(frame()).good();
         }
 
+        /** The counters that come with the answer to health. */
+        Map<String, String> counters() throws IOException {
+            out.write(FrontCodec.askHealth(999));
+            return FrontCodec.readAnswer(frame()).fields();
+        }
+
         /** The next frame; its type is its fourth byte, as text it shows what it holds. */
         byte[] frame() throws IOException {
             byte[] all = new byte[in.readInt()];
--- a/src/test/java/quincespar/program/StoriesTest.java
+++ b/src/test/java/quincespar/program/StoriesTest.java
@@ -24,7 +24,7 @@
 @Timeout(60)
 class StoriesTest {
     private static final Map<String, String> LOOKUP = Map.of("verb", "lookup", "txn", "9b1f03aa5c7e2d41", "limit",
-            "3000", "team", "acme", "cpu", "80.0", "heap_mb", "9");
+            "3000", "team", "acme", "cpu", "1200.0", "heap_mb", "9");
 
     private Peers.Engine engine;
     private Peers.Changes changes;
@@ -85,11 +85,11 @@
             }
             try (Peers.Client late = new Peers.Client(port)) { // clients come for a while yet
                 late.call(1, with("txn", "00000000000000bb"));
-                engine.next("serve").answer("00000000000000bb", "DONE", "count=1", "late\n");
-                assertThat(text(late.frame())).contains("late\n");
+                engine.next("serve").answer("00000000000000bb", "DONE", "count=1", "late\ta\tb\n");
+                assertThat(text(late.frame())).contains("late\ta\tb\n");
             }
-            serve.answer(serve.id(), "DONE", "count=1", "row\n");
-            assertThat(text(c.frame())).contains("row\n");
+            serve.answer(serve.id(), "DONE", "count=1", "row\ta\tb\n");
+            assertThat(text(c.frame())).contains("row\ta\tb\n");
             leaving.join();
             running.join();
             assertThatThrownBy(c::frame).isInstanceOf(EOFException.class);
@@ -102,6 +102,12 @@
         return out;
     }
 
+    private static Map<String, String> without(String field) {
+        Map<String, String> out = new HashMap<>(LOOKUP);
+        out.remove(field);
+        return out;
+    }
+
     private static String text(byte[] frame) {
         return new String(frame, StandardCharsets.ISO_8859_1);
     }
@@ -114,10 +120,10 @@
             assertThat(serve.words().get(2)).matches("queue=lookup,budget=\\d+");
             assertThat(serve.words().get(3)).isEqualTo("SELECT 1 FROM sales_3.t");
             serve.answer(serve.id(), "TELL", "detail=share,reading=0.5", "");
-            serve.answer(serve.id(), "DONE", "count=3,use=inflight:7", "one\n");
-            engine.next("read").answer(serve.id(), "MORE", "pos=2", "three\n");
-            engine.next("read").answer(serve.id(), "MORE", "pos=1", "two\n");
-            assertThat(text(c.frame())).contains("one\ntwo\nthree\n");
+            serve.answer(serve.id(), "DONE", "count=3,use=inflight:7", "one\ta\tb\n");
+            engine.next("read").answer(serve.id(), "MORE", "pos=2", "three\ta\tb\n");
+            engine.next("read").answer(serve.id(), "MORE", "pos=1", "two\ta\tb\n");
+            assertThat(text(c.frame())).contains("one\ta\tb\ntwo\ta\tb\nthree\ta\tb\n");
             assertThat(engine.next("release").id()).isEqualTo(serve.id());
         }
     }
@@ -135,9 +141,13 @@
     void whatCannotBeUsedGetsAnApplicationExceptionAndNothingElseEnds() throws Exception {
         try (Peers.Client c = new Peers.Client(port)) {
             for (Map<String, String> wrong : java.util.List.of(with("verb", "odd"), with("team", "odd"),
-                    with("limit", "-1"), with("cpu", "much"), with("txn", "short"))) {
-                c.call(5, wrong);
-                assertThat(c.frame()[3]).isEqualTo((byte) 3);
+                    with("limit", "-1"), with("limit", "99999"), with("cpu", "much"), with("cpu", "NaN"),
+                    with("heap_mb", "99999999"), with("txn", "short"), without("txn"), without("cpu"))) {
+                try (Peers.Client bad = new Peers.Client(port)) {
+                    bad.call(1, wrong);
+                    assertThat(bad.frame()[3]).isEqualTo((byte) 3);
+                    assertThatThrownBy(bad::frame).isInstanceOf(IOException.class); // it would try again for good
+                }
             }
             try (Peers.Client malformed = new Peers.Client(port)) {
                 malformed.raw(new byte[] {0, 0, 0, 4, 1, 2, 3, 4});
@@ -153,8 +163,8 @@
             c.call(1, LOOKUP);
             engine.next("serve").raw("+nonsense\r\n");
             Peers.Engine.Command again = engine.next("serve");
-            again.answer(again.id(), "DONE", "count=1", "row\n");
-            assertThat(text(c.frame())).contains("row\n");
+            again.answer(again.id(), "DONE", "count=1", "row\ta\tb\n");
+            assertThat(text(c.frame())).contains("row\ta\tb\n");
         }
     }
 
@@ -176,6 +186,11 @@
         String old = Files.readString(file);
         Files.writeString(file, "{");
         frontEnd.hangup();
+        try (Peers.Client c = new Peers.Client(port)) {
+            while (!c.counters().get("configurations.refused").equals("1")) {
+                Thread.onSpinWait();
+            }
+        }
         Files.writeString(file, old.replace("\"changelog\":\"127.0.0.1:" + changes.server.getLocalPort(),
                 "\"changelog\":\"127.0.0.1:" + moved.server.getLocalPort()));
         frontEnd.hangup();
--- a/src/test/java/quincespar/protocol/CodecsTest.java
+++ b/src/test/java/quincespar/protocol/CodecsTest.java
@@ -81,6 +81,15 @@
                 .isInstanceOf(MalformedException.class);
     }
 
+    @ParameterizedTest
+    @ValueSource(strings = {"a\tb\tc", "a\tb\n", "a\tb\tc\td\n", "a\tb\tc\nd", "a\tb\t\u00ff\n"})
+    void aPageThatIsNotWholeRowsOfThreeColumnsIsMalformed(String wrong) {
+        EngineCodec.requirePage(bytes("a\tb\tc\n\t\t\n"));
+        assertThatThrownBy(() -> EngineCodec.requirePage(bytes(wrong))).isInstanceOf(MalformedException.class);
+        assertThatThrownBy(() -> EngineCodec.requirePage(bytes("a\tb\tc\n".repeat(1001))))
+                .isInstanceOf(MalformedException.class);
+    }
+
     @Test
     void thriftFramesComeWholeAndOverlongOnesAreMalformed() {
         List<byte[]> got = new ArrayList<>();
--- a/src/test/java/quincespar/routing/ReducerTest.java
+++ b/src/test/java/quincespar/routing/ReducerTest.java
@@ -32,7 +32,7 @@
             pairs.putAll(Map.of("requestClasses." + c + ".slo", "800", "requestClasses." + c + ".hardLimit", "4000",
                     "requestClasses." + c + ".effect", c == 0 ? "safe" : "unsafe"));
         }
-        reducer = new Reducer(Site.of(pairs), (time, events) -> {
+        reducer = new Reducer(Site.of(pairs), new Bounds(3, 5), (time, events) -> {
             decisions++;
             told.addAll(events);
             List<Gateway.Action> out = List.copyOf(plan);
@@ -216,7 +216,7 @@
         int before = decisions;
         for (int i = 10; i < 13; i++) {
             effects.addAll(reducer.step(now + i, List.of(new Input.Asked(new Caller(2, i),
-                    new Query("00000000000000aa", 0, 0, 4000, false, 10, 0, 0, new byte[0]), now + i))));
+                    new Query("00000000000000" + i, 0, 0, 4000, false, 10, 0, 0, new byte[0]), now + i))));
         }
         assertThat(decisions).isEqualTo(before + 1);
         effects.addAll(reducer.step(now + 15, List.of(new Input.TimerFired(new TimerKey.Tick()))));
@@ -254,4 +254,86 @@
         assertThat(of(Effect.Log.class, effects)).hasSize(2);
         assertThat(last(Effect.Poll.class)).isEqualTo(poll);
     }
+
+    private static Input.Asked asked(Caller caller, String txn, double at) {
+        return new Input.Asked(caller, new Query(txn, 0, 0, 4000, false, 10, 0, 0, new byte[0]), at);
+    }
+
+    @Test
+    void silentAndIdleCallersMakeRoomForNewOnes() {
+        step(new Input.CallerUp(7), new Input.CallerUp(8), new Input.CallerUp(9));
+        step(asked(new Caller(7, 1), "a", now), asked(new Caller(8, 1), "b", now));
+        step(new Input.CallerUp(10)); // one more than fits: 9 has said nothing
+        step(new Input.Withdrawn(new Caller(8, 1)), new Input.CallerUp(11)); // 10 is the silent one now
+        step(asked(new Caller(11, 1), "c", now), new Input.CallerUp(12)); // and now 8 has nothing open
+        step(asked(new Caller(12, 1), "d", now), new Input.CallerUp(13)); // all others are being served
+        assertThat(of(Effect.CloseCaller.class, effects)).extracting(Effect.CloseCaller::connection)
+                .containsExactly(9L, 10L, 8L, 13L);
+    }
+
+    @Test
+    void aCallerWithNothingOpenIsClosedInTimeAndOneThatWaitsIsNot() {
+        step(new Input.CallerUp(7), new Input.CallerUp(8), asked(new Caller(8, 1), "a", now));
+        step(new Input.TimerFired(new TimerKey.Front(7)), new Input.TimerFired(new TimerKey.Front(8)));
+        assertThat(of(Effect.CloseCaller.class, effects)).extracting(Effect.CloseCaller::connection)
+                .containsExactly(7L);
+        assertThat(reducer.held()).containsEntry("held.callers", 1).containsEntry("held.names", 1);
+        step(new Input.CallerGone(8));
+        assertThat(reducer.held()).containsEntry("held.callers", 0).containsEntry("held.names", 0)
+                .containsEntry("held.requests", 0);
+    }
+
+    @Test
+    void theIdOfAnOpenRequestIsNotTakenTwiceAndOpenRequestsAreBounded() {
+        step(asked(new Caller(1, 1), "a", now), asked(new Caller(2, 1), "a", now));
+        assertThat(last(Effect.Answer.class).caller()).isEqualTo(new Caller(2, 1));
+        assertThat(last(Effect.Answer.class).reply()).isInstanceOf(Reply.Failed.class);
+        for (int i = 0; i < 5; i++) {
+            step(asked(new Caller(3, i), "b" + i, now));
+        }
+        assertThat(last(Effect.Answer.class).caller()).isEqualTo(new Caller(3, 4));
+        assertThat(last(Effect.Answer.class).reply()).isInstanceOf(Reply.Refused.class);
+        assertThat(of(Effect.Answer.class, effects)).hasSize(2);
+    }
+
+    @Test
+    void whatMakesNoSenseMattersUnderAnOpenIdOnly() {
+        Effect.Send s = sent(0);
+        begun(s);
+        step(new Input.Said(s.link(), new EngineNews.Unreadable("another", "count is no number")));
+        assertThat(outcome()).isNull();
+        step(new Input.Said(s.link(), new EngineNews.Unreadable(s.txn(), "count is no number")));
+        assertThat(last(Effect.CloseLink.class).link()).isEqualTo(s.link());
+        assertThat(outcome()).isEqualTo(Outcome.RESET);
+    }
+
+    @Test
+    void anAnswerThatStopsShortEndsItsLink() {
+        Effect.Send s = sent(0);
+        begun(s);
+        step(new Input.Midway(s.link(), true), new Input.Midway(s.link(), false));
+        assertThat(last(Effect.StopTimer.class).key()).isEqualTo(new TimerKey.Midway(s.link()));
+        step(new Input.Midway(s.link(), true));
+        step(new Input.TimerFired(new TimerKey.Midway(s.link())));
+        assertThat(last(Effect.CloseLink.class).link()).isEqualTo(s.link());
+        assertThat(outcome()).isEqualTo(Outcome.RESET);
+    }
+
+    @Test
+    void whatFollowsAWholeFirstPageProvesNothing() {
+        Effect.Send s = sent(1);
+        begun(s);
+        step(new Input.Said(s.link(), done(s, 2)), new Input.Said(s.link(), new EngineNews.Full(s.txn(), List.of())),
+                new Input.Said(s.link(), new EngineNews.Past(s.txn(), List.of())));
+        assertThat(outcome()).isNull();
+        step(new Input.Said(s.link(), page(s, 2))); // there is no such page
+        assertThat(outcome()).isEqualTo(Outcome.ERROR);
+    }
+
+    @Test
+    void oneInputThatFailsDoesNotLoseTheOthers() {
+        step(new Input.Asked(new Caller(1, 1), null, now), asked(new Caller(1, 2), "a", now));
+        assertThat(of(Effect.Uncaught.class, effects)).hasSize(1);
+        assertThat(reducer.open()).isEqualTo(1);
+    }
 }
--- a/src/test/java/quincespar/transport/ConnectionTest.java
+++ b/src/test/java/quincespar/transport/ConnectionTest.java
@@ -64,16 +64,17 @@
         }
         assertThat(bound.take(0, 60)).isTrue(); // so that a queued frame of 40 fills the bound
         CountDownLatch tried = new CountDownLatch(1);
-        Connection.dial(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), "c", bound,
-                new Connection.Handler() {
-                    @Override
-                    public void received(byte[] bytes, int count) { }
+        Connection c = Connection.dialled("c", bound);
+        c.send(new byte[40]);
+        c.dial(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), new Connection.Handler() {
+            @Override
+            public void received(byte[] bytes, int count) { }
 
-                    @Override
-                    public void closed(String cause) {
-                        tried.countDown();
-                    }
-                }).send(new byte[40]);
+            @Override
+            public void closed(String cause) {
+                tried.countDown();
+            }
+        });
         tried.await();
         assertThat(bound.take(0, 40)).isTrue();
     }
