Send a query that waits for another's load elsewhere, and loads on links of their own

A trace of the module each second: reports take 1.0 of their estimate, so cores are free, but lookups take 300 to 1100 ms for 50 to 80 ms of work and hold the bound that others wait for. They stand still behind loads of the other two front ends, which nobody sees: State.held knew own loads only, and Brain.noted dropped notes of waiting (detail=held, reading=2). Now such a note has the query cut and sent again, and marks those tables as held there for a quarter of a load's time. Also seen there: an engine shunned for over 10 s with three loads hanging on it, as Brain.room asked for none out; now one query is tried, a repeatable one first. Links: a spoilt answer takes along all that shares its link, so at most 8 share one while the engine may have another, and a load, which can't be sent again, goes alone. The stories now use an id each, as two under one open id are turned away.

--- a/src/main/java/quincespar/decision/Brain.java
+++ b/src/main/java/quincespar/decision/Brain.java
@@ -39,6 +39,10 @@
     private static final double STRANGE = 0.6;
     /** Index kept where a load holds the query's tables: it would stand still there. */
     private static final double HELD = 0.1;
+    /** A load that a note told of is taken to go on for this part of a load's time: it may be well on its way. */
+    private static final double HOLDS = 0.25;
+    /** What a note of waiting says where the wait is for a load. */
+    private static final double WAITS_FOR_LOAD = 2;
     /** What is lost of the index from a group's best to its worst engine: less than a core's load tells. */
     private static final double LEAN = 0.5;
     /** Times the mean idle part that a router may use more: the fleet stays near its bound if a third ask. */
@@ -289,9 +293,14 @@
         return pool;
     }
 
-    /** Room is half the threads of a query: asked for all of them, narrow queries would starve wide ones. */
+    /**
+     * Room is half the threads of a query: asked for all of them, narrow queries would starve wide ones. A shunned
+     * engine gets one query at a time; what hangs there since before may never end and must not keep it
+     * shunned. What may not run twice is tried later: it would be lost.
+     */
     private boolean room(Node n, Kind k) {
-        return n.shunned() ? n.outstanding.isEmpty() && now >= n.retryAt : room(n.bound, k);
+        return n.shunned() ? now >= n.retryAt + (k.spec.effect() == Effect.SAFE ? 0 : n.backoff) && n.outstanding.stream().noneMatch(a -> a.at > n.shunnedFrom)
+                : room(n.bound, k);
     }
 
     /**
@@ -575,10 +584,19 @@
 
     /** Whether a load holds the tables of this query on that engine, as far as is known. */
     private boolean held(Query q, Node n) {
-        return (q.spec.loads() || q.spec.waitsForLoads()) && (n.words.stream().anyMatch(w -> w.tag == q.tag)
+        return (q.spec.loads() || q.spec.waitsForLoads()) && (n.held(q.tag, now - HOLDS * loadTime()) || n.words.stream().anyMatch(w -> w.tag == q.tag)
                 || n.outstanding.stream().anyMatch(a -> a.query.spec.loads() && a.query.tag == q.tag));
     }
 
+    /** How long a load takes, by the class of loads that takes longest. */
+    private double loadTime() {
+        double most = 0;
+        for (int c = 0; c < kinds.length; c += 2) {
+            most = Math.max(most, kinds[c].spec.loads() ? kinds[c].times.value(kinds[c].spec.aim()) : 0);
+        }
+        return most;
+    }
+
     /**
      * Rendezvous hashing: all routers see the engines in one order for each group of tables. Its queries lean
      * to one end, so that engines keep its tables warm for all routers. Where there are loads, only these do,
@@ -784,11 +802,21 @@
                 && x.sends > 0 && (x.type != null || x.attempts.get(x.sends - 1).cancelled)).count();
     }
 
+    /**
+     * A note that a query stands still behind a load tells what no router sees of the others' loads: those tables
+     * are held there. It has done nothing yet, so it goes elsewhere while it can be in time.
+     */
     private void noted(Note e) {
         Query q = queries.get(e.id());
-        if (q != null && e.attempt() >= 0 && e.attempt() < q.attempts.size() && e.value() > 0
-                && e.kind() == NoteKind.PROGRESS) {
-            Attempt a = q.attempts.get(e.attempt());
+        if (q == null || e.attempt() < 0 || e.attempt() >= q.attempts.size()) {
+            return;
+        }
+        Attempt a = q.attempts.get(e.attempt());
+        if (e.kind() == NoteKind.WAIT && e.value() == WAITS_FOR_LOAD && a.outcome == null) {
+            a.node.heardAt = Math.max(a.node.heardAt, now - beat);
+            a.node.holds.put(q.tag, now);
+            cut(a, 1);
+        } else if (e.value() > 0 && e.kind() == NoteKind.PROGRESS) {
             a.node.heardAt = Math.max(a.node.heardAt, now - beat);
             double whole = (now - a.at) / Math.min(1, e.value());
             if (whole > 4 * a.expected * Math.max(1, pace(a.node)) && whole - (now - a.at) > 2 * a.expected) {
--- a/src/main/java/quincespar/decision/State.java
+++ b/src/main/java/quincespar/decision/State.java
@@ -329,6 +329,8 @@
         final LinkedHashSet<Attempt> outstanding = new LinkedHashSet<>();
         final LinkedHashSet<Word> words = new LinkedHashSet<>();
         final ArrayDeque<double[]> load = new ArrayDeque<>();
+        /** Tables that a load holds here as notes told, and when they did. */
+        final Map<Integer, Double> holds = new LinkedHashMap<>();
         double heardAt, retryAt, backoff, shunnedFrom = -1;
         double told = Double.NaN, toldAt;
         int threads, foreign;
@@ -346,6 +348,12 @@
             return engine.state() == EngineState.GONE;
         }
 
+        /** Whether a note told after {@code since} that a load holds these tables. */
+        boolean held(int tag, double since) {
+            holds.values().removeIf(at -> at < since);
+            return holds.containsKey(tag);
+        }
+
         boolean shunned() {
             return shunnedFrom >= 0;
         }
@@ -356,6 +364,7 @@
             shunnedFrom = -1;
             backoff = 0;
             words.clear();
+            holds.clear();
             foreign = 0;
             failures.weight = failures.sum = pace.weight = pace.sum = 0;
             Arrays.fill(times, null);
--- a/src/main/java/quincespar/routing/Reducer.java
+++ b/src/main/java/quincespar/routing/Reducer.java
@@ -35,6 +35,8 @@
     /** How long the rest of an engine's message may take: behind one that stops short nothing more comes. */
     private static final double MIDWAY = 500;
     private static final int MOST_LINKS = 8;
+    /** Requests that share a link while the engine may have another. */
+    private static final int SHARED = 8;
     /** A poll is shorter than the protocol allows: one lost in silence is then noticed within the 7 s. */
     private static final long POLL = 2000;
     private static final double POLL_SLACK = 1000;
@@ -321,7 +323,7 @@
             return;
         }
         startTimer(new TimerKey.Attempt(a.key), until - now);
-        a.link = link(e, r.query.txn());
+        a.link = link(e, r.query.txn(), unsafe(r));
         if (a.link == null) {
             end(a, Outcome.CONNECT_FAILED);
             return;
@@ -481,19 +483,22 @@
      * The least used link that may carry this request, or a new one; null where the engine has enough of them.
      * An engine reads its connections in any order: sent on another than its cancel, a request given up there
      * could come in before that cancel and be a second copy. So it stays on that link.
+     *
+     * A link that ends takes all that is open on it along, and an answer that arrives spoilt ends it. So few share
+     * one while others are to be had, and what may not run twice goes alone: it would be lost.
      */
-    private Link link(Fleet.Engine e, String txn) {
+    private Link link(Fleet.Engine e, String txn, boolean alone) {
         Link best = null;
         for (Link l : e.links) {
             boolean usable = l.open.size() < site.streams() && !l.open.containsKey(txn);
             if (usable && l.abandoned.contains(txn)) {
                 return l;
             }
-            if (usable && !l.suspect && (best == null || l.open.size() < best.open.size())) {
+            if (usable && !l.suspect && (best == null || shared(l) < shared(best))) {
                 best = l;
             }
         }
-        if (best == null && e.links.size() < MOST_LINKS) {
+        if ((best == null || shared(best) >= (alone ? 1 : SHARED)) && e.links.size() < MOST_LINKS) {
             best = new Link(++serial, e, now);
             e.links.add(best);
             links.put(best.id, best);
@@ -507,6 +512,12 @@
         return best;
     }
 
+    /** How much is lost if the link ends; one that carries what may not run twice is full. */
+    private int shared(Link l) {
+        boolean dear = l.open.values().stream().anyMatch(a -> unsafe(a.request));
+        return l.open.size() + (dear ? SHARED : 0);
+    }
+
     private void linkUp(Link l) {
         if (l != null) {
             l.up = true;
@@ -552,7 +563,7 @@
     }
 
     private void probe(Fleet.Engine e) {
-        Link l = e == null ? null : link(e, "");
+        Link l = e == null ? null : link(e, "", false);
         String tag = "p" + ++serial;
         if (l == null) {
             return;
--- a/src/test/java/quincespar/decision/MechanismTest.java
+++ b/src/test/java/quincespar/decision/MechanismTest.java
@@ -251,4 +251,51 @@
         }
         assertEquals(runs.get(0), runs.get(1));
     }
+
+    @Test
+    void aQueryThatWaitsForAnothersLoadGoesElsewhereAndOthersOfItsTablesToo() {
+        Rig r = new Rig();
+        r.classes.add(new Gateway.ClassSpec("waits", 1000, 0, 4000, 1, 0.5, Gateway.Effect.SAFE, Gateway.Scope.ALL,
+                3000, false, false, 1, false, true, null, null));
+        r.classes.add(new Gateway.ClassSpec("load", 3000, 0, 9000, 5, 0.5, Gateway.Effect.UNSAFE, Gateway.Scope.ALL,
+                3000, false, false, 2, true, false, null, null));
+        r.start(Rig.ready(10), Rig.ready(11));
+        long held = Rig.sends(r.tell(waiting(1))).get(0).engine();
+        List<Action> cut = r.after(60, new Gateway.Note(1, 0, held, Gateway.NoteKind.WAIT, 2));
+        assertEquals(List.of(new Gateway.Cancel(1, 0)), Rig.all(cut, Gateway.Cancel.class));
+        List<Send> again = Rig.sends(r.after(1, Rig.end(1, 0, held, Outcome.CANCELLED, 61)));
+        again = new ArrayList<>(again);
+        for (int i = 2; i < 6; i++) {
+            again.addAll(Rig.sends(r.tell(waiting(i))));
+        }
+        assertEquals(5, again.size());
+        assertTrue(again.stream().allMatch(s -> s.engine() != held), "tables are held at " + held + ": " + again);
+    }
+
+    @Test
+    void aShunnedEngineIsTriedAgainAlthoughOlderAttemptsHangThere() {
+        Rig r = new Rig();
+        r.classes.add(Rig.safe("a", 1000, 1));
+        r.start(Rig.ready(10), Rig.ready(11), Rig.ready(12));
+        List<Send> first = new ArrayList<>();
+        for (int i = 0; i < 12; i++) {
+            first.addAll(Rig.sends(r.tell(Rig.ask(i, 0))));
+        }
+        long silent = first.get(0).engine();
+        first.removeIf(s -> s.engine() != silent);
+        for (int i = 100; i < 300 && first.get(first.size() - 1).id() < 100; i++) { // the others answer all the while
+            for (Send s : Rig.sends(r.after(20, Rig.ask(i, 0), new Timer(1)))) {
+                if (s.engine() != silent) {
+                    r.after(10, Rig.end(s.id(), 0, s.engine(), Outcome.OK, 10));
+                } else if (r.now > 2500) {
+                    first.add(s); // tried again, though nothing sent before has ended
+                }
+            }
+        }
+        assertTrue(first.get(first.size() - 1).id() >= 100, "never tried again by " + r.now);
+    }
+
+    private static Gateway.Request waiting(long id) {
+        return new Gateway.Request(id, 0, 0, 4000, 100, 0, 3, 0, false, false);
+    }
 }
--- a/src/test/java/quincespar/program/StoriesTest.java
+++ b/src/test/java/quincespar/program/StoriesTest.java
@@ -31,6 +31,7 @@
     private FrontEnd frontEnd;
     private Thread running;
     private Path file;
+    private int requests;
     private int port;
 
     @BeforeAll
@@ -70,7 +71,7 @@
     @AfterAll
     void whatWasTakenIsAnsweredBeforeTheEnd() throws Exception {
         try (Peers.Client c = new Peers.Client(port)) {
-            c.call(1, LOOKUP);
+            c.call(1, lookup());
             Peers.Engine.Command serve = engine.next("serve");
             Thread leaving = new Thread(() -> {
                 try {
@@ -96,6 +97,11 @@
         }
     }
 
+    /** A request under an id of its own, as every one has. */
+    private Map<String, String> lookup() {
+        return with("txn", String.format("%016x", ++requests));
+    }
+
     private static Map<String, String> with(String field, String value) {
         Map<String, String> out = new HashMap<>(LOOKUP);
         out.put(field, value);
@@ -115,7 +121,7 @@
     @Test
     void allPagesAreServedInOrder() throws Exception {
         try (Peers.Client c = new Peers.Client(port)) {
-            c.call(1, LOOKUP);
+            c.call(1, lookup());
             Peers.Engine.Command serve = engine.next("serve");
             assertThat(serve.words().get(2)).matches("queue=lookup,budget=\\d+");
             assertThat(serve.words().get(3)).isEqualTo("SELECT 1 FROM sales_3.t");
@@ -130,11 +136,12 @@
 
     @Test
     void aClientThatLeavesHasItsAttemptCancelled() throws Exception {
+        String id;
         try (Peers.Client c = new Peers.Client(port)) {
-            c.call(1, LOOKUP);
-            engine.next("serve");
+            c.call(1, lookup());
+            id = engine.next("serve").id();
         }
-        assertThat(engine.next("cancel").id()).isEqualTo(LOOKUP.get("txn"));
+        assertThat(engine.next("cancel").id()).isEqualTo(id);
     }
 
     @Test
@@ -160,7 +167,7 @@
     @Test
     void aMalformedAnswerEndsItsConnectionOnlyAndTheQueryIsTriedAgain() throws Exception {
         try (Peers.Client c = new Peers.Client(port)) {
-            c.call(1, LOOKUP);
+            c.call(1, lookup());
             engine.next("serve").raw("+nonsense\r\n");
             Peers.Engine.Command again = engine.next("serve");
             again.answer(again.id(), "DONE", "count=1", "row\ta\tb\n");
--- a/src/test/java/quincespar/routing/ReducerTest.java
+++ b/src/test/java/quincespar/routing/ReducerTest.java
@@ -336,4 +336,15 @@
         assertThat(of(Effect.Uncaught.class, effects)).hasSize(1);
         assertThat(reducer.open()).isEqualTo(1);
     }
+
+    @Test
+    void whatMayNotRunTwiceGoesAlone() {
+        Effect.Send load = sent(1);
+        plan.add(new Gateway.Send(requestNumber() + 2, engine(0), 0)); // the link took a number too
+        step(asked(new Caller(1, 2), "b", now));
+        assertThat(of(Effect.OpenLink.class, effects)).hasSize(2);
+        step(new Input.LinkUp(last(Effect.OpenLink.class).link()));
+        assertThat(last(Effect.Send.class).txn()).isEqualTo("b");
+        assertThat(last(Effect.Send.class).link()).isNotEqualTo(load.link());
+    }
 }
