At the end make room for all that wait to be accepted, and look once more for what came late

Its front end stopped 0.1 s after the phase FINISHING began, with 152 inputs in its queue and 122 connections up: FrontEnd.run looked at open requests alone, and ThriftFront.accept waited for a place while connections lay in the system's queue. There is no test of this yet. Thread samples show the listener starting threads (5 of 6) and half a core used up.

--- a/src/main/java/quincespar/program/FrontEnd.java
+++ b/src/main/java/quincespar/program/FrontEnd.java
@@ -17,9 +17,12 @@
     /** After word to stop, connections come for up to 0.4 s and requests on open ones for 0.2 s more. */
     private static final double LEAVING_MS = 800;
     private static final double FLUSH_MS = 300;
+    /** What came last may lie unread for so long, on a part of a core: stopped before, it would be lost. */
+    private static final double SETTLE_MS = 300;
     /** Descriptors: a third is the clients' by the protocol; the rest covers theirs that linger, and ours. */
     private static final double CLIENT_SHARE = 0.45;
 
+    private volatile boolean settled;
     private final Lifecycle lifecycle = new Lifecycle();
     private final Counters counters = new Counters();
     private final Clock clock = new Clock();
@@ -56,7 +59,7 @@
         System.err.println(configuration.name() + ": serving on " + configuration.listen());
         while (lifecycle.phase() != Phase.STOPPED) {
             step(inputs.take());
-            if (lifecycle.phase() == Phase.FINISHING && reducer.open() == 0) {
+            if (settled && reducer.open() == 0 && inputs.size() == 0) {
                 stop();
             }
         }
@@ -65,10 +68,14 @@
     /** Asks for an orderly end and waits for it; called from another thread. */
     void leave() throws InterruptedException {
         if (lifecycle.enter(Phase.LEAVING)) {
+            front.leave();
             timers.after(LEAVING_MS, () -> {
                 listener.close();
                 lifecycle.enter(Phase.FINISHING);
-                inputs.add(new Input.CallerGone(0)); // wakes the loop, which may have nothing open
+                timers.after(SETTLE_MS, () -> {
+                    settled = true;
+                    inputs.add(new Input.CallerGone(0)); // wakes the loop, which may have nothing open
+                });
             });
         }
         lifecycle.await(Phase.STOPPED);
--- a/src/main/java/quincespar/program/ThriftFront.java
+++ b/src/main/java/quincespar/program/ThriftFront.java
@@ -51,6 +51,7 @@
     private final Consumer<Input> post;
     private final Supplier<Map<String, String>> report;
     private final Semaphore places;
+    private final int spared;
 
     ThriftFront(Site site, int mostConnections, Clock clock, Counters counters, Consumer<Input> post,
             Supplier<Map<String, String>> report) {
@@ -64,6 +65,7 @@
             tenants.put(site.module().tenants().get(i).name(), i);
         }
         places = new Semaphore(mostConnections);
+        spared = mostConnections / 5;
         this.clock = clock;
         this.counters = counters;
         this.post = post;
@@ -83,6 +85,11 @@
         s.connection.start(s);
     }
 
+    /** At the end none may be left in the system's queue: what was sent on it would be lost. So there is room for all. */
+    void leave() {
+        places.release(spared);
+    }
+
     void close(Effect.CloseCaller e) {
         Session s = sessions.get(e.connection());
         if (s != null) {
