--- a/src/main/java/quincespar/decision/Brain.java
+++ b/src/main/java/quincespar/decision/Brain.java
@@ -39,7 +39,7 @@
     private static final double STRANGE = 0.6;
     /** Index kept where a load holds the query's tables: it would stand still there. */
     private static final double HELD = 0.1;
-    /** A load that a note told of is taken to go on for this part of a load's time: it may be well on its way. */
+    /** A load that a note told of is taken to go on for this part of a load's time: it began before. */
     private static final double HOLDS = 0.25;
     /** What a note of waiting says where the wait is for a load. */
     private static final double WAITS_FOR_LOAD = 2;
@@ -294,20 +294,23 @@
     }
 
     /**
-     * Room is half the threads of a query: asked for all of them, narrow queries would starve wide ones. A shunned
-     * engine gets one query at a time; what hangs there since before may never end and must not keep it
-     * shunned. What may not run twice is tried later: it would be lost.
+     * Room is half the threads of a query: asked for all of them, narrow queries would starve wide ones. A
+     * shunned engine gets one query at a time; what hangs there since before may never end and must not keep
+     * it shunned. What may not run twice is tried later: it would be lost.
      */
     private boolean room(Node n, Kind k) {
-        return n.shunned() ? now >= n.retryAt + (k.spec.effect() == Effect.SAFE ? 0 : n.backoff) && n.outstanding.stream().noneMatch(a -> a.at > n.shunnedFrom)
-                : room(n.bound, k);
+        if (!n.shunned()) {
+            return room(n.bound, k);
+        }
+        return now >= n.retryAt + (k.spec.effect() == Effect.SAFE ? 0 : n.backoff)
+                && n.outstanding.stream().noneMatch(a -> a.at > n.shunnedFrom);
     }
 
     /**
      * Parts that others leave idle may be used: a pooled bound is wider while the fleet holds less. It is a
      * few threads, so one or two long queries fill it for seconds: against a class of larger γμ they count
-     * less, else what is shortest and dearest would wait for what can't be stopped. Under an engine's own bound
-     * that holds for the class of the largest γμ alone: it is the smaller part of the work, and all share cores.
+     * less, else what is shortest and dearest would wait for what can't be stopped. Under an engine's own
+     * bound that holds for the class of the largest γμ alone: it is the smaller part of the work.
      */
     private boolean room(Bound b, Kind k) {
         double taken = b.threads, spare = b == pool && spoken() ? BORROW * (b.width - fleet) : 0;
@@ -584,7 +587,8 @@
 
     /** Whether a load holds the tables of this query on that engine, as far as is known. */
     private boolean held(Query q, Node n) {
-        return (q.spec.loads() || q.spec.waitsForLoads()) && (n.held(q.tag, now - HOLDS * loadTime()) || n.words.stream().anyMatch(w -> w.tag == q.tag)
+        return (q.spec.loads() || q.spec.waitsForLoads()) && (n.held(q.tag, now - HOLDS * loadTime())
+                || n.words.stream().anyMatch(w -> w.tag == q.tag)
                 || n.outstanding.stream().anyMatch(a -> a.query.spec.loads() && a.query.tag == q.tag));
     }
 
@@ -803,8 +807,8 @@
     }
 
     /**
-     * A note that a query stands still behind a load tells what no router sees of the others' loads: those tables
-     * are held there. It has done nothing yet, so it goes elsewhere while it can be in time.
+     * A note that a query stands still behind a load tells what no router sees of the others' loads: those
+     * tables are held there. It has done nothing yet, so it goes elsewhere while it can be in time.
      */
     private void noted(Note e) {
         Query q = queries.get(e.id());
