Make the wait at the end a named phase, and drop a check that can't fail

FrontEnd kept a flag 'settled' beside Lifecycle; it is the phase SETTLING now, between LEAVING and FINISHING, and the end of the program reads the one object. In ThriftFront a number that was not used before can't be open, so adding it can't fail. Fronts.spare loops plainly.

--- a/src/main/java/quincespar/program/FrontEnd.java
+++ b/src/main/java/quincespar/program/FrontEnd.java
@@ -22,7 +22,6 @@
     /** Descriptors: a third is the clients' by the protocol; the rest covers theirs that linger, and ours. */
     private static final double CLIENT_SHARE = 0.45;
 
-    private volatile boolean settled;
     private final Lifecycle lifecycle = new Lifecycle();
     private final Counters counters = new Counters();
     private final Clock clock = new Clock();
@@ -59,7 +58,7 @@
         System.err.println(configuration.name() + ": serving on " + configuration.listen());
         while (lifecycle.phase() != Phase.STOPPED) {
             step(inputs.take());
-            if (settled && reducer.open() == 0 && inputs.size() == 0) {
+            if (lifecycle.phase() == Phase.FINISHING && reducer.open() == 0 && inputs.size() == 0) {
                 stop();
             }
         }
@@ -71,9 +70,9 @@
             front.leave();
             timers.after(LEAVING_MS, () -> {
                 listener.close();
-                lifecycle.enter(Phase.FINISHING);
+                lifecycle.enter(Phase.SETTLING);
                 timers.after(SETTLE_MS, () -> {
-                    settled = true;
+                    lifecycle.enter(Phase.FINISHING);
                     inputs.add(new Input.CallerGone(0)); // wakes the loop, which may have nothing open
                 });
             });
@@ -118,7 +117,7 @@
             counters.done(e);
             try {
                 perform(e);
-            } catch (RuntimeException | OutOfMemoryError x) { // one effect that fails must not keep back the others of its step
+            } catch (RuntimeException | OutOfMemoryError x) { // one that fails must not keep back the others
                 uncaught("performing " + e.getClass().getSimpleName(), x);
             }
         }
--- a/src/main/java/quincespar/program/Lifecycle.java
+++ b/src/main/java/quincespar/program/Lifecycle.java
@@ -10,7 +10,9 @@
         SERVING,
         /** Told to stop: clients may not know yet, so all that comes is still taken. */
         LEAVING,
-        /** Accepting no more connections; what was taken is answered. */
+        /** Accepting no more connections; what came last may still lie unread. */
+        SETTLING,
+        /** All that came was read; what was taken is answered. */
         FINISHING,
         /** All is answered: the last bytes are written and the program ends. */
         STOPPED
--- a/src/main/java/quincespar/program/ThriftFront.java
+++ b/src/main/java/quincespar/program/ThriftFront.java
@@ -85,7 +85,7 @@
         s.connection.start(s);
     }
 
-    /** At the end none may be left in the system's queue: what was sent on it would be lost. So there is room for all. */
+    /** At the end there is room for those in the system's queue too: what was sent on them would be lost. */
     void leave() {
         places.release(spared);
     }
@@ -212,10 +212,11 @@
                 end(FrontCodec.exception(c.seqid(), FrontCodec.INTERNAL, e.getMessage()));
                 return;
             }
-            if (open.size() >= MOST_OPEN || !open.add(c.seqid())) {
+            if (open.size() >= MOST_OPEN) {
                 connection.send(FrontCodec.exception(c.seqid(), FrontCodec.INTERNAL, "too many open requests"));
                 return;
             }
+            open.add(c.seqid());
             post.accept(new Input.Asked(caller, query, at));
         }
     }
--- a/src/main/java/quincespar/routing/Fronts.java
+++ b/src/main/java/quincespar/routing/Fronts.java
@@ -1,8 +1,8 @@
 package quincespar.routing;
 
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
@@ -66,12 +66,10 @@
      * longest so first; the newest itself only where all others have requests open.
      */
     long spare(long newest) {
-        for (Set<FrontLink> some : java.util.List.of(silent, idle)) {
-            Iterator<FrontLink> i = some.iterator();
-            while (i.hasNext()) {
-                long id = i.next().id;
-                if (id != newest) {
-                    return id;
+        for (Set<FrontLink> some : List.of(silent, idle)) {
+            for (FrontLink f : some) {
+                if (f.id != newest) {
+                    return f.id;
                 }
             }
         }
