Take clients and engines on two event loops instead of two threads a connection

Now: transport.EventLoop (a selector and one thread each for clients and engines), Connection and Listener on it with the same interface and Passage; whoever sends writes at once. A close for idleness or room looks first whether something is open or lies unread (Input.CallerStays). On SIGTERM the listener takes all that wait in the system's queue before it closes, and the end waits until one pass has read all that was there. A finished connection is half-closed first, so that no reset destroys the last answer. Ruled out: pooled reader threads (a crowd still needs one each while it is silent); a bigger backlog (it was not full).

--- a/src/main/java/quincespar/program/ChangeLog.java
+++ b/src/main/java/quincespar/program/ChangeLog.java
@@ -9,6 +9,7 @@
 import quincespar.routing.Effect;
 import quincespar.routing.Input;
 import quincespar.transport.Connection;
+import quincespar.transport.EventLoop;
 import quincespar.transport.OutboxBound;
 
 /** Asks the change log over HTTP/1.1, on one connection for as long as that lasts. Used by one thread. */
@@ -17,10 +18,12 @@
     private static final int OK = 200;
 
     private final OutboxBound bound = new OutboxBound(OUTBOX, OUTBOX);
+    private final EventLoop loop;
     private final Consumer<Input> post;
     private Exchange current;
 
-    ChangeLog(Consumer<Input> post) {
+    ChangeLog(EventLoop loop, Consumer<Input> post) {
+        this.loop = loop;
         this.post = post;
     }
 
@@ -48,7 +51,7 @@
         Exchange(InetSocketAddress address, long serial) {
             this.address = address;
             this.serial = serial;
-            connection = Connection.dialled("changes", bound);
+            connection = Connection.dialled(loop, "changes", bound);
             connection.dial(address, this);
         }
 
--- a/src/main/java/quincespar/program/EngineLinks.java
+++ b/src/main/java/quincespar/program/EngineLinks.java
@@ -15,6 +15,7 @@
 import quincespar.routing.EngineNews;
 import quincespar.routing.Input;
 import quincespar.transport.Connection;
+import quincespar.transport.EventLoop;
 import quincespar.transport.OutboxBound;
 import quincespar.transport.Passage;
 
@@ -29,10 +30,12 @@
 
     private final Map<Long, Connection> connections = new ConcurrentHashMap<>();
     private final OutboxBound bound = new OutboxBound(OUTBOX, OUTBOXES);
+    private final EventLoop loop;
     private final List<String> reportFields;
     private final Consumer<Input> post;
 
-    EngineLinks(List<String> reportFields, Consumer<Input> post) {
+    EngineLinks(EventLoop loop, List<String> reportFields, Consumer<Input> post) {
+        this.loop = loop;
         this.reportFields = reportFields;
         this.post = post;
     }
@@ -40,7 +43,7 @@
     void open(Effect.OpenLink e) {
         try {
             InetSocketAddress address = Configuration.address(e.address());
-            Connection c = Connection.dialled("engine-" + e.link(), bound);
+            Connection c = Connection.dialled(loop, "engine-" + e.link(), bound);
             connections.put(e.link(), c); // before its end can be told, or it would be kept for good
             c.dial(address, new Receiver(e.link()));
         } catch (IllegalArgumentException x) { // listed at no address: as good as refused
--- a/src/main/java/quincespar/program/FrontEnd.java
+++ b/src/main/java/quincespar/program/FrontEnd.java
@@ -9,6 +9,7 @@
 import quincespar.routing.Effect;
 import quincespar.routing.Input;
 import quincespar.routing.Reducer;
+import quincespar.transport.EventLoop;
 import quincespar.transport.Listener;
 import quincespar.transport.Threads;
 
@@ -30,6 +31,8 @@
     private final Map<String, String> environment;
     private final Configuration configuration;
     private final Reducer reducer;
+    private final EventLoop clientLoop = new EventLoop("clients");
+    private final EventLoop engineLoop = new EventLoop("engines");
     private final Listener listener;
     private final ThriftFront front;
     private final EngineLinks engines;
@@ -41,19 +44,21 @@
         Configuration c = Configuration.read(environment);
         configuration = c;
         reducer = new Reducer(c.site(), c.bounds(), new Brain(c.site().module(), c.seed()));
-        listener = new Listener(c.listen());
-        front = new ThriftFront(c.site(), (int) (c.sockets() * CLIENT_SHARE), clock, counters,
+        listener = new Listener(clientLoop, c.listen());
+        front = new ThriftFront(clientLoop, c.site(), (int) (c.sockets() * CLIENT_SHARE), clock, counters,
                 inputs::addFromPeer, this::report);
-        engines = new EngineLinks(c.site().module().fleet().reportFields(), inputs::addFromPeer);
-        changes = new ChangeLog(inputs::addFromPeer);
+        engines = new EngineLinks(engineLoop, c.site().module().fleet().reportFields(), inputs::addFromPeer);
+        changes = new ChangeLog(engineLoop, inputs::addFromPeer);
     }
 
     /** Serves until told to stop and all that was taken is answered. */
     void run() throws InterruptedException {
         new Warmup(configuration, front).run();
+        engineLoop.start();
         perform(reducer.start(clock.now(), configuration.changeLog(), configuration.known().seq(),
                 configuration.known().events()));
-        listener.start(front::accept);
+        front.start(listener);
+        clientLoop.start();
         lifecycle.enter(Phase.SERVING);
         System.err.println(configuration.name() + ": serving on " + configuration.listen());
         while (lifecycle.phase() != Phase.STOPPED) {
@@ -69,12 +74,11 @@
         if (lifecycle.enter(Phase.LEAVING)) {
             front.leave();
             timers.after(LEAVING_MS, () -> {
-                listener.close();
-                lifecycle.enter(Phase.SETTLING);
-                timers.after(SETTLE_MS, () -> {
+                listener.close(() -> lifecycle.enter(Phase.SETTLING));
+                timers.after(SETTLE_MS, () -> clientLoop.afterPass(() -> {
                     lifecycle.enter(Phase.FINISHING);
                     inputs.add(new Input.CallerGone(0)); // wakes the loop, which may have nothing open
-                });
+                }));
             });
         }
         lifecycle.await(Phase.STOPPED);
--- a/src/main/java/quincespar/program/ThriftFront.java
+++ b/src/main/java/quincespar/program/ThriftFront.java
@@ -1,12 +1,11 @@
 package quincespar.program;
 
-import java.net.Socket;
+import java.nio.channels.SocketChannel;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.Semaphore;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -26,10 +25,12 @@
 import quincespar.routing.Reply;
 import quincespar.routing.Site;
 import quincespar.transport.Connection;
+import quincespar.transport.EventLoop;
+import quincespar.transport.Listener;
 import quincespar.transport.OutboxBound;
 
 /** The clients' protocol: Thrift in frames. One session for each connection reads it and words the replies. */
-final class ThriftFront implements Front {
+final class ThriftFront implements Front, Listener.Taker {
     private static final Pattern TXN = Pattern.compile("[0-9a-f]{16}");
     /** Up to ten million: more milliseconds or megabytes no request has. */
     private static final Pattern FIGURE = Pattern.compile("[0-9]{1,7}(\\.[0-9]{1,9})?");
@@ -50,11 +51,13 @@
     private final Counters counters;
     private final Consumer<Input> post;
     private final Supplier<Map<String, String>> report;
-    private final Semaphore places;
-    private final int spared;
+    private final EventLoop loop;
+    private volatile Listener listener;
+    private volatile int places;
 
-    ThriftFront(Site site, int mostConnections, Clock clock, Counters counters, Consumer<Input> post,
-            Supplier<Map<String, String>> report) {
+    ThriftFront(EventLoop loop, Site site, int mostConnections, Clock clock, Counters counters,
+            Consumer<Input> post, Supplier<Map<String, String>> report) {
+        this.loop = loop;
         List<Gateway.ClassSpec> specs = site.module().classes();
         longest = new double[specs.size()];
         for (int i = 0; i < specs.size(); i++) {
@@ -64,22 +67,31 @@
         for (int i = 0; i < site.module().tenants().size(); i++) {
             tenants.put(site.module().tenants().get(i).name(), i);
         }
-        places = new Semaphore(mostConnections);
-        spared = mostConnections / 5;
+        places = mostConnections;
         this.clock = clock;
         this.counters = counters;
         this.post = post;
         this.report = report;
     }
 
+    void start(Listener from) {
+        listener = from;
+        from.start(this);
+    }
+
     /**
-     * Takes a connection that was accepted. Descriptors are kept for engines and the change log: with no place left
-     * the caller waits, and new clients in the system's queue, until the reducer has closed whom it can spare.
+     * Descriptors are kept for engines and the change log: with no place left new clients wait in the system's
+     * queue, until the reducer has closed whom it can spare.
      */
-    void accept(Socket socket) {
-        places.acquireUninterruptibly();
+    @Override
+    public boolean room() {
+        return sessions.size() < places;
+    }
+
+    @Override
+    public void take(SocketChannel channel) {
         long number = numbers.incrementAndGet();
-        Session s = new Session(number, Connection.accepted(socket, "client-" + number, bound));
+        Session s = new Session(number, Connection.accepted(loop, channel, "client-" + number, bound));
         sessions.put(number, s);
         post.accept(new Input.CallerUp(number));
         s.connection.start(s);
@@ -87,13 +99,14 @@
 
     /** At the end there is room for those in the system's queue too: what was sent on them would be lost. */
     void leave() {
-        places.release(spared);
+        places += places / 5;
+        listener.resume();
     }
 
     void close(Effect.CloseCaller e) {
         Session s = sessions.get(e.connection());
         if (s != null) {
-            s.connection.close(e.why());
+            s.connection.closeIfQuiet(e.why());
         }
     }
 
@@ -163,10 +176,20 @@
             }
         }
 
+        @Override
+        public boolean busy() {
+            return !open.isEmpty();
+        }
+
+        @Override
+        public void notQuiet() {
+            post.accept(new Input.CallerStays(number));
+        }
+
         @Override
         public void closed(String cause) {
             sessions.remove(number);
-            places.release();
+            listener.resume();
             post.accept(new Input.CallerGone(number));
         }
 
--- a/src/main/java/quincespar/routing/Effect.java
+++ b/src/main/java/quincespar/routing/Effect.java
@@ -10,7 +10,7 @@
     /** Say whether requests can be served. */
     record AnswerHealth(Caller caller, boolean canServe) implements Effect { }
 
-    /** Close a client's connection at once. */
+    /** Close a client's connection, unless something has come on it that the reducer has not seen yet. */
     record CloseCaller(long connection, String why) implements Effect { }
 
     /** Connect to an engine. */
--- a/src/main/java/quincespar/routing/Input.java
+++ b/src/main/java/quincespar/routing/Input.java
@@ -8,6 +8,9 @@
     /** A client has connected. */
     record CallerUp(long connection) implements Input { }
 
+    /** A client's connection that was to be closed as idle stays up: something came on it meanwhile. */
+    record CallerStays(long connection) implements Input { }
+
     /** A client's request has come whole; {@code at} is when its last byte did. */
     record Asked(Caller caller, Query query, double at) implements Input { }
 
--- a/src/main/java/quincespar/routing/Reducer.java
+++ b/src/main/java/quincespar/routing/Reducer.java
@@ -167,6 +167,8 @@
             gone(x.connection());
         } else if (i instanceof Input.CallerUp x) {
             callerUp(x.connection());
+        } else if (i instanceof Input.CallerStays x) {
+            callerUp(x.connection());
         } else if (i instanceof Input.Midway x && links.containsKey(x.link())) {
             if (x.unfinished()) {
                 startTimer(new TimerKey.Midway(x.link()), MIDWAY);
--- a/src/main/java/quincespar/transport/Connection.java
+++ b/src/main/java/quincespar/transport/Connection.java
@@ -2,17 +2,23 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.Socket;
+import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.SocketChannel;
+import java.nio.channels.UnresolvedAddressException;
 import java.util.ArrayDeque;
-import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.ArrayList;
+import java.util.List;
 
 /**
- * One TCP connection: a thread that reads, a thread that writes, and a bounded outbox between the writer and
- * whoever sends, so that a peer that does not read holds up its own writer only. It knows bytes and nothing else.
- * The writer starts with the first frame: hundreds of peers that connect and say nothing must not have one each.
+ * One TCP connection on an {@link EventLoop}, with a bounded outbox, so that a peer that does not read holds up
+ * nobody. It knows bytes and nothing else. Whoever sends writes at once as far as the system takes it; the loop
+ * writes the rest. All that the owner is told comes on the loop's thread, but {@code written}, which comes on the
+ * thread that wrote.
  */
 public final class Connection {
-    /** What the owner is told, on this connection's threads. */
+    /** What the owner is told. */
     public interface Handler {
         /** A connection that was dialled is up. */
         default void opened() { }
@@ -20,72 +26,133 @@
         /** Bytes came; the array is used again after the call. */
         void received(byte[] bytes, int count);
 
+        /** Whether something is open on it, as far as the owner has read. */
+        default boolean busy() {
+            return false;
+        }
+
+        /** It was to be closed if quiet and was not: it is busy, or bytes lay unread and are received next. */
+        default void notQuiet() { }
+
         /** The connection is over, nothing more goes out and nothing more is handed on; told once, last of all. */
         void closed(String cause);
     }
 
-    private record Frame(byte[] bytes, Passage passage, Runnable written) { }
+    private static final class Frame {
+        final ByteBuffer bytes;
+        final Passage passage;
+        final Runnable written;
+        boolean begun;
 
-    private static final int CHUNK = 8 * 1024;
+        Frame(byte[] bytes, Passage passage, Runnable written) {
+            this.bytes = ByteBuffer.wrap(bytes);
+            this.passage = passage;
+            this.written = written;
+        }
 
-    private final Socket socket;
+        /** Whether it goes out; asked before its first byte, and its leave can't be taken back from then on. */
+        boolean begin() {
+            begun = begun || passage == null || passage.begin();
+            return begun;
+        }
+
+        int size() {
+            return bytes.capacity();
+        }
+    }
+
+    private enum Phase { NEW, DIALLING, OPEN, FINISHING, FINISHED, CLOSED }
+
+    /** Reads of one connection in a pass: one that sends at full speed must not keep others waiting. */
+    private static final int READS = 2;
+    /** How long the peer may take to read what was written last, before the close. */
+    private static final long LINGER_MS = 200;
+    /** What is still read and dropped meanwhile. */
+    private static final int LINGER_BYTES = 64 * 1024;
+
+    private final EventLoop loop;
     private final String name;
     private final OutboxBound bound;
     private final ArrayDeque<Frame> outbox = new ArrayDeque<>();
-    private final AtomicBoolean shut = new AtomicBoolean();
+    private final EventLoop.Ready ready = new EventLoop.Ready() {
+        @Override
+        public void ready(SelectionKey k) {
+            Connection.this.ready(k);
+        }
+
+        @Override
+        public void failed(Throwable error) {
+            close("handling: " + error.getMessage());
+        }
+    };
+    private SocketChannel channel;
+    private SelectionKey key;
     private Handler handler;
+    private Phase phase = Phase.NEW;
     private int pending;
-    /** Threads of this connection that have not ended; the last one tells of the end. */
-    private int running;
-    private boolean ready;
-    private boolean writing;
-    private boolean finishing;
-    private boolean over;
+    private int dropped;
     private String cause = "closed here";
 
-    private Connection(Socket socket, String name, OutboxBound bound) {
-        this.socket = socket;
+    private Connection(EventLoop loop, SocketChannel channel, String name, OutboxBound bound) {
+        this.loop = loop;
+        this.channel = channel;
         this.name = name;
         this.bound = bound;
     }
 
-    /** Takes over a socket that was accepted; nothing is read before {@link #start}. */
-    public static Connection accepted(Socket socket, String name, OutboxBound bound) {
-        return new Connection(socket, name, bound);
+    /** Takes over a channel that was accepted; nothing is read or written before {@link #start}. */
+    public static Connection accepted(EventLoop loop, SocketChannel channel, String name, OutboxBound bound) {
+        return new Connection(loop, channel, name, bound);
     }
 
     /** A connection that is not yet dialled; what is sent before it is up waits in the outbox. */
-    public static Connection dialled(String name, OutboxBound bound) {
-        return new Connection(new Socket(), name, bound);
+    public static Connection dialled(EventLoop loop, String name, OutboxBound bound) {
+        return new Connection(loop, null, name, bound);
     }
 
-    /** Begins to connect on a thread of its own; the handler hears {@code opened} or {@code closed}. */
+    /** Begins to connect; the handler hears {@code opened} or {@code closed}. */
     public void dial(InetSocketAddress address, Handler to) {
         handler = to;
-        begin(() -> connect(address));
+        loop.execute(() -> connect(address));
     }
 
-    /** Starts to read an accepted connection. */
+    /** Starts to read and write an accepted connection. */
     public void start(Handler to) {
         handler = to;
-        begin(this::readAll);
+        loop.execute(() -> {
+            try {
+                prepare();
+                key = loop.register(channel, SelectionKey.OP_READ, ready);
+                up();
+            } catch (IOException e) {
+                close("start: " + e.getMessage());
+            }
+        });
     }
 
-    private void begin(Runnable reading) {
+    private void prepare() throws IOException {
+        channel.configureBlocking(false);
+        channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+    }
+
+    private void connect(InetSocketAddress address) {
         synchronized (outbox) {
-            running++;
+            if (phase != Phase.NEW) {
+                return;
+            }
+            phase = Phase.DIALLING;
         }
         try {
-            thread("read", () -> {
-                try {
-                    reading.run();
-                } finally {
-                    left();
-                }
-            }).start();
-        } catch (OutOfMemoryError e) { // no thread is to be had: as good as a connection that broke
-            close("no thread: " + e.getMessage());
-            left();
+            channel = SocketChannel.open();
+            prepare();
+            boolean at = channel.connect(address);
+            key = loop.register(channel, at ? SelectionKey.OP_READ : SelectionKey.OP_CONNECT, ready);
+            if (at) {
+                handler.opened();
+                up();
+            }
+        } catch (IOException | UnresolvedAddressException e) {
+            close("connect: " + e.getMessage());
         }
     }
 
@@ -96,160 +163,217 @@
 
     /** As {@link #send(byte[])}: only if {@code passage} still stands at the first byte; {@code written} follows. */
     public boolean send(byte[] bytes, Passage passage, Runnable written) {
+        List<Runnable> told = new ArrayList<>(1);
         synchronized (outbox) {
-            if (over || finishing || !bound.take(pending, bytes.length)) {
+            if (phase.compareTo(Phase.FINISHING) >= 0 || !bound.take(pending, bytes.length)) {
                 return false;
             }
             pending += bytes.length;
+            boolean first = outbox.isEmpty();
             outbox.add(new Frame(bytes, passage, written));
-            write();
-            return true;
+            if (first && phase == Phase.OPEN) {
+                write(told);
+            }
         }
+        told.forEach(Runnable::run); // without the lock: who is told may wait for room, and others send here
+        return true;
     }
 
-    /** Wakes the writer, or starts it where the socket is up and there is none yet. Called with the lock. */
-    private void write() {
-        if (writing) {
-            outbox.notifyAll();
-        } else if (ready && !over) {
-            try {
-                thread("write", () -> {
-                    try {
-                        writeAll();
-                    } finally {
-                        left();
+    /** Writes as much as the system takes; the loop goes on with the rest. Called with the lock. */
+    private void write(List<Runnable> told) {
+        try {
+            while (!outbox.isEmpty()) {
+                Frame f = outbox.peek();
+                if (f.begin()) {
+                    channel.write(f.bytes);
+                    if (f.bytes.hasRemaining()) {
+                        loop.execute(() -> interest(SelectionKey.OP_WRITE, true));
+                        return;
                     }
-                }).start();
-                writing = true;
-                running++;
-            } catch (OutOfMemoryError e) {
-                close("no thread: " + e.getMessage());
+                    if (f.written != null) {
+                        told.add(f.written);
+                    }
+                }
+                outbox.poll();
+                pending -= f.size();
+                bound.give(f.size());
             }
+            if (phase == Phase.FINISHING) {
+                phase = Phase.FINISHED;
+                loop.execute(this::linger);
+            }
+        } catch (IOException e) {
+            close("write: " + e.getMessage());
+        } catch (OutOfMemoryError e) {
+            close("writing: " + e.getMessage());
+        }
+    }
+
+    private void interest(int op, boolean on) {
+        if (key != null && key.isValid()) {
+            key.interestOps(on ? key.interestOps() | op : key.interestOps() & ~op);
+        }
+    }
+
+    /** All is written: tells the peer so, and gives it a moment to read that; a close at once might destroy it. */
+    private void linger() {
+        try {
+            channel.shutdownOutput();
+            loop.after(LINGER_MS, () -> close("finished"));
+        } catch (IOException e) {
+            close("finishing: " + e.getMessage());
         }
     }
 
-    /** The socket is up: what waits may go out. */
     private void up() {
         synchronized (outbox) {
-            ready = true;
-            if (finishing || !outbox.isEmpty()) {
-                write();
+            if (phase == Phase.NEW || phase == Phase.DIALLING) {
+                phase = Phase.OPEN;
             }
         }
+        flush();
     }
 
-    /** Closes at once; what is queued is dropped. */
-    public void close(String why) {
-        if (!shut.compareAndSet(false, true)) {
-            return;
+    private void flush() {
+        List<Runnable> told = new ArrayList<>(1);
+        synchronized (outbox) {
+            if (phase == Phase.OPEN || phase == Phase.FINISHING) {
+                write(told);
+            }
         }
+        told.forEach(Runnable::run);
+    }
+
+    /** Closes; what is queued is dropped. */
+    public void close(String why) {
         synchronized (outbox) {
+            if (phase == Phase.CLOSED) {
+                return;
+            }
+            phase = Phase.CLOSED;
             cause = why;
-            over = true;
-            outbox.notifyAll();
+            outbox.clear();
+            bound.give(pending); // with the end, what is still queued frees its room in the bound that others share
+            pending = 0;
         }
-        closeSocket();
+        loop.execute(this::over);
     }
 
-    /** Closes once all that is queued has been written. */
+    /**
+     * Closes where nothing is open and nothing lies unread, and says {@link Handler#notQuiet} otherwise. Guards
+     * against closing for idleness what has just been asked on: on a busy core a request may have come and not have
+     * been read yet, or may still be on its way to whoever decides on the close.
+     */
+    public void closeIfQuiet(String why) {
+        loop.execute(() -> {
+            boolean open;
+            synchronized (outbox) {
+                open = phase == Phase.OPEN;
+            }
+            if (open && handler.busy()) {
+                handler.notQuiet();
+                return;
+            }
+            int n = open ? read(loop.buffer()) : 0;
+            if (n > 0) {
+                handler.notQuiet();
+                handler.received(loop.bytes(), n);
+            } else if (n == 0) {
+                close(why);
+            }
+        });
+    }
+
+    /** Closes once all that is queued has been written, and the peer has had a moment to read it. */
     public void finish() {
         synchronized (outbox) {
-            finishing = true;
-            write();
+            if (phase.compareTo(Phase.FINISHING) >= 0) {
+                return;
+            }
+            boolean open = phase == Phase.OPEN;
+            phase = Phase.FINISHING;
+            if (open && outbox.isEmpty()) {
+                write(new ArrayList<>(0)); // nothing is queued, so nobody is told
+            }
         }
     }
 
-    private void closeSocket() {
+    private void over() {
         try {
-            socket.close();
+            if (key != null) {
+                key.cancel();
+            }
+            if (channel != null) {
+                channel.close();
+            }
         } catch (IOException e) {
             System.err.println(name + ": closing: " + e.getMessage());
         }
+        if (handler != null) {
+            handler.closed(cause);
+        }
     }
 
-    private Thread thread(String role, Runnable body) {
-        return Threads.daemon(name + "-" + role, body);
+    private void ready(SelectionKey k) {
+        if (k.isConnectable()) {
+            connected();
+        }
+        if (k.isValid() && k.isWritable()) {
+            interest(SelectionKey.OP_WRITE, false);
+            flush();
+        }
+        for (int i = 0; i < READS && k.isValid() && k.isReadable(); i++) {
+            ByteBuffer buffer = loop.buffer();
+            int n = read(buffer);
+            if (n > 0) {
+                handle(n);
+            }
+            if (n < buffer.capacity()) {
+                return;
+            }
+        }
     }
 
-    private void connect(InetSocketAddress address) {
+    private void connected() {
         try {
-            socket.setTcpNoDelay(true);
-            socket.connect(address);
+            channel.finishConnect();
         } catch (IOException e) {
             close("connect: " + e.getMessage());
             return;
         }
+        interest(SelectionKey.OP_CONNECT, false);
+        interest(SelectionKey.OP_READ, true);
         handler.opened();
-        readAll();
-    }
-
-    private void readAll() {
         up();
-        try {
-            byte[] chunk = new byte[CHUNK];
-            int n = socket.getInputStream().read(chunk);
-            while (n >= 0) {
-                handler.received(chunk, n);
-                n = socket.getInputStream().read(chunk);
-            }
-            close("closed by the peer");
-        } catch (IOException e) {
-            close("read: " + e.getMessage());
-        } catch (RuntimeException | OutOfMemoryError | StackOverflowError e) {
-            // what a peer sends must end its own connection at most
-            System.err.println(name + ": " + e);
-            close("handling: " + e.getMessage());
-        }
     }
 
-    private Frame next() throws InterruptedException {
+    private void handle(int n) {
+        boolean over;
         synchronized (outbox) {
-            while (outbox.isEmpty() && !over && !finishing) {
-                outbox.wait();
+            over = phase == Phase.CLOSED;
+            if (phase == Phase.FINISHING || phase == Phase.FINISHED) {
+                over = true;
+                dropped += n;
             }
-            return over ? null : outbox.poll();
+        }
+        if (!over) {
+            handler.received(loop.bytes(), n);
+        } else if (dropped > LINGER_BYTES) {
+            interest(SelectionKey.OP_READ, false);
         }
     }
 
-    private void writeAll() {
+    /** Reads what is there, 0 where nothing is; at the end the connection is closed and it is negative. */
+    private int read(ByteBuffer buffer) {
         try {
-            for (Frame f = next(); f != null; f = next()) {
-                if (f.passage() == null || f.passage().begin()) {
-                    socket.getOutputStream().write(f.bytes());
-                    if (f.written() != null) {
-                        f.written().run();
-                    }
-                }
-                synchronized (outbox) {
-                    pending -= f.bytes().length;
-                    bound.give(f.bytes().length);
-                }
+            int n = channel.read(buffer);
+            if (n < 0) {
+                close("closed by the peer");
             }
-            close("finished");
+            return n;
         } catch (IOException e) {
-            close("write: " + e.getMessage());
-        } catch (OutOfMemoryError e) {
-            close("writing: " + e.getMessage());
-        } catch (InterruptedException e) {
-            close("interrupted");
-        }
-    }
-
-    /**
-     * A thread has ended. With the last one, however far it came, what is still queued frees its room in the bound
-     * that others share, and the owner is told. Not before: a reader may still be handing on what it read.
-     */
-    private void left() {
-        synchronized (outbox) {
-            running--;
-            if (running > 0) {
-                return;
-            }
-            over = true;
-            outbox.clear();
-            bound.give(pending);
-            pending = 0;
+            close("read: " + e.getMessage());
+            return -1;
         }
-        handler.closed(cause);
     }
 }
--- a/src/main/java/quincespar/transport/Listener.java
+++ b/src/main/java/quincespar/transport/Listener.java
@@ -2,63 +2,129 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
-import java.net.Socket;
-import java.util.function.Consumer;
+import java.net.StandardSocketOptions;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
 
-/** Accepts connections on one address until it is closed. */
+/** Accepts connections on one address, on an {@link EventLoop}, until it is closed. */
 public final class Listener {
+    /** Takes what is accepted, on the loop's thread. */
+    public interface Taker {
+        /** Whether there is a place for one more; else new ones wait in the system's queue until {@link #resume}. */
+        boolean room();
+
+        /** Takes one over. */
+        void take(SocketChannel channel);
+    }
+
     private static final int BACKLOG = 1024;
+    /** Accepted in a pass, so that a crowd that connects does not keep those waiting that have asked. */
+    private static final int ACCEPTS = 16;
     private static final long PAUSE_MS = 20;
 
-    private final ServerSocket socket = new ServerSocket();
+    private final EventLoop loop;
+    private final ServerSocketChannel channel;
+    private final EventLoop.Ready ready = new EventLoop.Ready() {
+        @Override
+        public void ready(SelectionKey k) {
+            accept(ACCEPTS);
+        }
+
+        @Override
+        public void failed(Throwable error) {
+            pause();
+        }
+    };
+    private SelectionKey key;
+    private Taker taker;
 
     /** Binds the address; nothing is accepted before {@link #start}. */
-    public Listener(InetSocketAddress address) throws IOException {
-        socket.setReuseAddress(true); // a planned restart binds the same address again at once
-        socket.bind(address, BACKLOG);
+    public Listener(EventLoop loop, InetSocketAddress address) throws IOException {
+        this.loop = loop;
+        channel = ServerSocketChannel.open();
+        channel.setOption(StandardSocketOptions.SO_REUSEADDR, true); // a planned restart binds it again at once
+        channel.bind(address, BACKLOG);
+        channel.configureBlocking(false);
     }
 
     /** The port that is bound. */
-    public int port() {
-        return socket.getLocalPort();
+    public int port() throws IOException {
+        return ((InetSocketAddress) channel.getLocalAddress()).getPort();
     }
 
-    /** Accepts on a thread of its own. */
-    public void start(Consumer<Socket> taker) {
-        Threads.daemon("listener", () -> accept(taker)).start();
+    /** Begins to accept. */
+    public void start(Taker to) {
+        loop.execute(() -> {
+            taker = to;
+            try {
+                key = loop.register(channel, SelectionKey.OP_ACCEPT, ready);
+            } catch (IOException e) {
+                System.err.println("listener: " + e.getMessage());
+            }
+        });
     }
 
-    private void accept(Consumer<Socket> taker) {
-        while (!socket.isClosed()) {
-            try {
-                Socket s = socket.accept();
-                s.setTcpNoDelay(true);
-                taker.accept(s);
-            } catch (IOException | RuntimeException | OutOfMemoryError e) {
-                // out of descriptors or threads, or a client gone before it was accepted: none ends the listener
-                if (!socket.isClosed()) {
-                    System.err.println("listener: " + e.getMessage());
-                    pause();
-                }
+    /** There may be room again. */
+    public void resume() {
+        loop.execute(() -> {
+            if (key != null && key.isValid() && taker.room()) {
+                key.interestOps(SelectionKey.OP_ACCEPT);
+            }
+        });
+    }
+
+    private void accept(int most) {
+        for (int i = 0; i < most; i++) {
+            if (!taker.room()) {
+                key.interestOps(0);
+                return;
+            }
+            if (!acceptOne()) {
+                return;
             }
         }
     }
 
-    private void pause() {
+    /** False where none waits, or one that can't be had. */
+    private boolean acceptOne() {
         try {
-            Thread.sleep(PAUSE_MS);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
+            SocketChannel c = channel.accept();
+            if (c == null) {
+                return false;
+            }
+            taker.take(c);
+            return true;
+        } catch (IOException e) { // out of descriptors, or a client gone before it was accepted
+            System.err.println("listener: " + e.getMessage());
+            pause();
+            return false;
         }
     }
 
-    /** Stops accepting. */
-    public void close() {
-        try {
-            socket.close();
-        } catch (IOException e) {
-            System.err.println("listener: closing: " + e.getMessage());
+    /** Guards against a loop that spins on a queue that it can't empty, as where descriptors have run out. */
+    private void pause() {
+        if (key != null && key.isValid()) {
+            key.interestOps(0);
+            loop.after(PAUSE_MS, this::resume);
         }
     }
+
+    /** Accepts all that wait in the system's queue, room or not, and then no more; {@code closed} follows. */
+    public void close(Runnable closed) {
+        loop.execute(() -> {
+            try {
+                while (key != null && acceptOne()) {
+                    continue;
+                }
+                if (key != null) {
+                    key.cancel();
+                }
+                channel.close();
+            } catch (IOException e) {
+                System.err.println("listener: closing: " + e.getMessage());
+            }
+            closed.run();
+        });
+    }
 }
--- a/src/main/java/quincespar/transport/Threads.java
+++ b/src/main/java/quincespar/transport/Threads.java
@@ -1,6 +1,6 @@
 package quincespar.transport;
 
-/** The program's own threads: daemons with a small stack, as there are two for each connection. */
+/** The program's own threads: daemons with a small stack. */
 public final class Threads {
     private static final long STACK = 160 * 1024;
 
--- a/src/test/java/quincespar/LayersTest.java
+++ b/src/test/java/quincespar/LayersTest.java
@@ -34,7 +34,8 @@
     void socketsStayInTheTransport() {
         ArchRuleDefinition.noClasses().that().resideOutsideOfPackages("quincespar.transport..", "quincespar.program..")
                 .should().dependOnClassesThat().resideInAPackage("java.net..").check(all);
-        ArchRuleDefinition.noClasses().should().dependOnClassesThat()
-                .resideInAnyPackage("java.nio.channels..", "java.net.http..").check(all);
+        ArchRuleDefinition.noClasses().that().resideOutsideOfPackages("quincespar.transport..", "quincespar.program..")
+                .should().dependOnClassesThat().resideInAPackage("java.nio.channels..").check(all);
+        ArchRuleDefinition.noClasses().should().dependOnClassesThat().resideInAPackage("java.net.http..").check(all);
     }
 }
--- a/src/test/java/quincespar/transport/ConnectionTest.java
+++ b/src/test/java/quincespar/transport/ConnectionTest.java
@@ -2,26 +2,74 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.io.IOException;
+import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
 @Timeout(30)
 class ConnectionTest {
     private final CountDownLatch closed = new CountDownLatch(1);
+    private final BlockingQueue<String> told = new LinkedBlockingQueue<>();
     private final Connection.Handler handler = new Connection.Handler() {
         @Override
-        public void received(byte[] bytes, int count) { }
+        public void received(byte[] bytes, int count) {
+            told.add("received " + count);
+        }
+
+        @Override
+        public boolean busy() {
+            return busy;
+        }
+
+        @Override
+        public void notQuiet() {
+            told.add("not quiet");
+        }
 
         @Override
         public void closed(String cause) {
+            told.add("closed: " + cause);
             closed.countDown();
         }
     };
+    private volatile boolean busy;
+    private EventLoop loop;
+    private ServerSocketChannel server;
+
+    @BeforeEach
+    void open() throws IOException {
+        loop = new EventLoop("test");
+        loop.start();
+        server = ServerSocketChannel.open().bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+    }
+
+    @AfterEach
+    void close() throws IOException {
+        loop.end();
+        server.close();
+    }
+
+    private Socket peer() throws IOException {
+        return new Socket(server.socket().getInetAddress(), server.socket().getLocalPort());
+    }
+
+    private Connection accepted(OutboxBound bound) throws IOException {
+        return Connection.accepted(loop, server.accept(), "c", bound);
+    }
 
     /** Sends until the outbox is full, which no call waits for. */
     private static int fill(Connection c) {
@@ -35,13 +83,12 @@
     @Test
     void aPeerThatDoesNotReadFillsItsOutboxAndHoldsUpNobody() throws Exception {
         OutboxBound bound = new OutboxBound(1 << 20, 3 << 19);
-        try (ServerSocket server = new ServerSocket(0, 5, InetAddress.getLoopbackAddress());
-                Socket one = new Socket(server.getInetAddress(), server.getLocalPort())) {
-            Connection first = Connection.accepted(server.accept(), "first", bound);
+        try (Socket one = peer()) {
+            Connection first = accepted(bound);
             assertThat(fill(first)).isEqualTo(16);
-            try (Socket two = new Socket(server.getInetAddress(), server.getLocalPort())) {
+            try (Socket two = peer()) {
                 assertThat(two.isConnected()).isTrue();
-                Connection second = Connection.accepted(server.accept(), "second", bound);
+                Connection second = accepted(bound);
                 assertThat(fill(second)).isEqualTo(8); // what both hold together is bounded too
             }
             first.start(handler);
@@ -63,27 +110,17 @@
             port = gone.getLocalPort();
         }
         assertThat(bound.take(0, 60)).isTrue(); // so that a queued frame of 40 fills the bound
-        CountDownLatch tried = new CountDownLatch(1);
-        Connection c = Connection.dialled("c", bound);
+        Connection c = Connection.dialled(loop, "c", bound);
         c.send(new byte[40]);
-        c.dial(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), new Connection.Handler() {
-            @Override
-            public void received(byte[] bytes, int count) { }
-
-            @Override
-            public void closed(String cause) {
-                tried.countDown();
-            }
-        });
-        tried.await();
+        c.dial(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), handler);
+        closed.await();
         assertThat(bound.take(0, 40)).isTrue();
     }
 
     @Test
     void aFrameWhoseLeaveWasTakenBackDoesNotGoOutAndOthersDo() throws Exception {
-        try (ServerSocket server = new ServerSocket(0, 5, InetAddress.getLoopbackAddress());
-                Socket peer = new Socket(server.getInetAddress(), server.getLocalPort())) {
-            Connection c = Connection.accepted(server.accept(), "c", new OutboxBound(100, 100));
+        try (Socket peer = peer()) {
+            Connection c = accepted(new OutboxBound(100, 100));
             Passage revoked = new Passage();
             Passage kept = new Passage();
             c.send(new byte[] {1}, revoked, null);
@@ -95,4 +132,148 @@
             assertThat(kept.revoke()).isFalse();
         }
     }
+
+    @Test
+    void whatIsWrittenIsToldOnceItIsAndAFinishedConnectionLetsThePeerReadBeforeTheClose() throws Exception {
+        try (Socket peer = peer()) {
+            Connection c = accepted(new OutboxBound(1 << 25, 1 << 25));
+            peer.getOutputStream().write(new byte[100]); // unread, it would turn a close into a reset
+            c.start(handler);
+            assertThat(told.take()).isEqualTo("received 100");
+            c.send(new byte[1 << 25], null, () -> told.add("written"));
+            assertThat(told).isEmpty(); // more than the system takes at once
+            c.finish();
+            peer.getOutputStream().write(new byte[100]);
+            assertThat(peer.getInputStream().readAllBytes()).hasSize(1 << 25);
+            assertThat(told.take()).isEqualTo("written");
+            assertThat(c.send(new byte[1])).isFalse();
+        }
+        assertThat(told.take()).startsWith("closed: ");
+    }
+
+    /** Seen on a busy core: a request lay unread, or unseen by the reducer, when its connection went as idle. */
+    @Test
+    void aConnectionOnWhichSomethingCameIsNotClosedAsIdle() throws Exception {
+        try (Socket peer = peer()) {
+            Connection c = accepted(new OutboxBound(100, 100));
+            CountDownLatch arrived = new CountDownLatch(1);
+            c.start(handler);
+            loop.execute(() -> { // holds the loop up, as a busy core does, until bytes have come
+                c.closeIfQuiet("idle");
+                await(arrived);
+            });
+            peer.getOutputStream().write(new byte[3]);
+            arrived.countDown();
+            assertThat(told.take()).isEqualTo("not quiet");
+            assertThat(told.take()).isEqualTo("received 3");
+            busy = true;
+            c.closeIfQuiet("idle");
+            assertThat(told.take()).isEqualTo("not quiet");
+            busy = false;
+            c.closeIfQuiet("idle");
+            assertThat(told.take()).isEqualTo("closed: idle");
+            assertThat(peer.getInputStream().read()).isEqualTo(-1);
+        }
+    }
+
+    private static void await(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    @Test
+    void aHandlerThatFailsEndsItsOwnConnectionOnly() throws Exception {
+        try (Socket bad = peer(); Socket good = peer()) {
+            accepted(new OutboxBound(100, 100)).start(new Connection.Handler() {
+                @Override
+                public void received(byte[] bytes, int count) {
+                    throw new IllegalStateException("unforeseen");
+                }
+
+                @Override
+                public void closed(String cause) {
+                    told.add("closed: " + cause);
+                }
+            });
+            accepted(new OutboxBound(100, 100)).start(handler);
+            bad.getOutputStream().write(1);
+            assertThat(told.take()).isEqualTo("closed: handling: unforeseen");
+            good.getOutputStream().write(1);
+            assertThat(told.take()).isEqualTo("received 1");
+        }
+    }
+
+    /** With no place left new ones wait in the system's queue; at the end those that wait there are taken too. */
+    @Test
+    void aListenerWithoutRoomLeavesClientsWaitingAndTakesAllOfThemBeforeItCloses() throws Exception {
+        List<SocketChannel> taken = new ArrayList<>();
+        BlockingQueue<Integer> sizes = new LinkedBlockingQueue<>();
+        Listener listener = new Listener(loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        listener.start(new Listener.Taker() {
+            @Override
+            public boolean room() {
+                return taken.size() < 1;
+            }
+
+            @Override
+            public void take(SocketChannel channel) {
+                taken.add(channel);
+                sizes.add(taken.size());
+            }
+        });
+        InetSocketAddress at = new InetSocketAddress(InetAddress.getLoopbackAddress(), listener.port());
+        try (SocketChannel one = SocketChannel.open(at); SocketChannel two = SocketChannel.open(at);
+                SocketChannel three = SocketChannel.open(at)) {
+            assertThat(sizes.take()).isEqualTo(1);
+            CountDownLatch passed = new CountDownLatch(1);
+            loop.afterPass(passed::countDown);
+            passed.await();
+            assertThat(sizes).isEmpty();
+            CountDownLatch over = new CountDownLatch(1);
+            listener.close(over::countDown);
+            over.await();
+            assertThat(sizes).containsExactly(2, 3);
+            assertThat(one.isConnected() && two.isConnected() && three.isConnected()).isTrue();
+        }
+        for (SocketChannel c : taken) {
+            c.close();
+        }
+    }
+
+    /** A crowd that connects and says nothing: seen to use up half a core while each had a thread. */
+    @Test
+    void connectionsThatSayNothingNeedNoThreads() throws Exception {
+        List<Socket> crowd = new ArrayList<>();
+        int before = Thread.activeCount();
+        for (int i = 0; i < 200; i++) {
+            crowd.add(peer());
+            accepted(new OutboxBound(100, 100)).start(handler);
+        }
+        crowd.get(199).getOutputStream().write(1);
+        assertThat(told.take()).isEqualTo("received 1");
+        assertThat(Thread.activeCount()).isLessThan(before + 20);
+        for (Socket s : crowd) {
+            s.close();
+        }
+    }
+
+    /** What is asked for after a pass comes after all that was readable before. */
+    @Test
+    void afterAPassAllThatLayUnreadIsHandled() throws Exception {
+        try (Socket peer = peer()) {
+            accepted(new OutboxBound(100, 100)).start(handler);
+            CountDownLatch arrived = new CountDownLatch(1);
+            loop.execute(() -> await(arrived));
+            try (OutputStream out = peer.getOutputStream()) {
+                out.write(new byte[5]);
+                arrived.countDown();
+                loop.afterPass(() -> told.add("passed"));
+                assertThat(told.take()).isEqualTo("received 5");
+                assertThat(told.take()).isEqualTo("passed");
+            }
+        }
+    }
 }
