Learn nothing from time spent behind a load, and hold such queries here; count cuts by cause

A lookup used its five attempts within 10 ms, the fifth stood still for 570 ms; that time was learned as the engine's: it cut the bounds to their floor, so that 9849 lookups (with retries) were refused without an attempt, and passed for silence, so that engines were shunned. Now an attempt that stood still is not learned from, and a query that waits for loads is not sent where a load is known to hold its tables until it is late; a mark from a note lasts a tenth of a load's time instead of a quarter. Each of the two tests fails when its guard is taken out.

--- a/src/main/java/quincespar/decision/Brain.java
+++ b/src/main/java/quincespar/decision/Brain.java
@@ -40,7 +40,7 @@
     /** Index kept where a load holds the query's tables: it would stand still there. */
     private static final double HELD = 0.1;
     /** A load that a note told of is taken to go on for this part of a load's time: it began before. */
-    private static final double HOLDS = 0.25;
+    private static final double HOLDS = 0.1;
     /** What a note of waiting says where the wait is for a load. */
     private static final double WAITS_FOR_LOAD = 2;
     /** What is lost of the index from a group's best to its worst engine: less than a core's load tells. */
@@ -408,7 +408,7 @@
                             || !coldRoom(kinds[t.kind.cls * 2], n)) {
                         continue; // what no query of the class may do is not asked of each one
                     }
-                    if (q == null || !legal(q, n)) {
+                    if (q == null || !legal(q, n) || wouldStandStill(q, n)) {
                         q = first(t, n);
                     }
                     double score = q == null ? 0 : index(t, q, n) * fit(q, n);
@@ -465,7 +465,20 @@
 
     /** The oldest query of a type that may go to this engine; only rules make it look past the head. */
     private Query first(Type t, Node n) {
-        return t.queue.stream().filter(q -> legal(q, n)).findFirst().orElse(null);
+        for (Query q : t.queue) {
+            if (legal(q, n) && !wouldStandStill(q, n)) {
+                return q;
+            }
+        }
+        return null;
+    }
+
+    /**
+     * Where a load is known to hold its tables a query waits here, not there: sent at once it would use up
+     * its attempts within milliseconds, on engines just heard to be held. Late for its aim it may go.
+     */
+    private boolean wouldStandStill(Query q, Node n) {
+        return q.spec.waitsForLoads() && !q.spec.loads() && now < latestStart(q, 1) && held(q, n);
     }
 
     /** Among engines of like index: own zone, more free room, its tables' engines, not where it failed. */
@@ -663,8 +676,8 @@
     private void learn(Attempt a, Ended e) {
         Node n = a.node;
         Kind k = kinds[a.query.cls * 2 + a.query.band];
-        if (stalled && e.outcome() == Outcome.OK) {
-            n.heardAt = now;
+        if (stalled && e.outcome() == Outcome.OK || a.stoodStill) {
+            n.heardAt = e.outcome() == Outcome.OK ? now : n.heardAt;
             return;
         }
         if (e.outcome() == Outcome.OK || e.outcome() == Outcome.TIMEOUT) {
@@ -756,7 +769,7 @@
             for (Attempt a : new ArrayList<>(n.outstanding)) {
                 boolean mute = n.shunned() && silent && now - a.at > a.expected;
                 if (mute || straggles(a)) {
-                    cut(a, kinds[a.query.cls * 2].credit);
+                    cut(a, kinds[a.query.cls * 2].credit, mute ? Gateway.Why.MUTE : Gateway.Why.STRAGGLES);
                 }
             }
         }
@@ -787,7 +800,7 @@
     }
 
     /** Cancels an attempt for a resend, where the rules let it be sent again and the time left allows it. */
-    private void cut(Attempt a, double credit) {
+    private void cut(Attempt a, double credit, Gateway.Why why) {
         Query q = a.query;
         boolean useful = now + expected(q) < q.deadline;
         if (a.cancelled || q.over || q.streaming || !set.limits().cancel() || !useful || credit < 1
@@ -797,7 +810,7 @@
         }
         kinds[q.cls * 2].credit = Math.max(0, credit - 1);
         a.cancelled = true;
-        out.add(new Cancel(q.id, a.number));
+        out.add(new Cancel(q.id, a.number, why));
     }
 
     /** Further attempts due already: work cut for one that the budget then forbids is thrown away. */
@@ -819,12 +832,13 @@
         if (e.kind() == NoteKind.WAIT && e.value() == WAITS_FOR_LOAD && a.outcome == null) {
             a.node.heardAt = Math.max(a.node.heardAt, now - beat);
             a.node.holds.put(q.tag, now);
-            cut(a, 1);
+            a.stoodStill = true;
+            cut(a, 1, Gateway.Why.HELD);
         } else if (e.value() > 0 && e.kind() == NoteKind.PROGRESS) {
             a.node.heardAt = Math.max(a.node.heardAt, now - beat);
             double whole = (now - a.at) / Math.min(1, e.value());
             if (whole > 4 * a.expected * Math.max(1, pace(a.node)) && whole - (now - a.at) > 2 * a.expected) {
-                cut(a, 1);
+                cut(a, 1, Gateway.Why.SLOW);
             }
         }
     }
@@ -1020,7 +1034,7 @@
         for (Attempt a : q.attempts) {
             if (a.outcome == null && !a.cancelled && set.limits().cancel() && !q.streaming) {
                 a.cancelled = true;
-                out.add(new Cancel(q.id, a.number));
+                out.add(new Cancel(q.id, a.number, Gateway.Why.OVER));
             }
         }
         forget(q);
--- a/src/main/java/quincespar/decision/Gateway.java
+++ b/src/main/java/quincespar/decision/Gateway.java
@@ -138,8 +138,22 @@
     /** End the request as failed: nothing is promised. */
     record Fail(long id) implements Action { }
 
+    /** Why an attempt is cancelled; the adapter's wire has no word for it, it is told to operators. */
+    enum Why {
+        /** The request is over. */
+        OVER,
+        /** Its engine has gone silent. */
+        MUTE,
+        /** It takes far longer than its query should. */
+        STRAGGLES,
+        /** A note says that it stands still behind a load. */
+        HELD,
+        /** A note of progress says that it would take far longer than its query should. */
+        SLOW
+    }
+
     /** Stop waiting for an attempt. */
-    record Cancel(long id, int attempt) implements Action { }
+    record Cancel(long id, int attempt, Why why) implements Action { }
 
     /** Wake the gateway with this token after a delay. */
     record SetTimer(int token, double delay) implements Action { }
--- a/src/main/java/quincespar/decision/State.java
+++ b/src/main/java/quincespar/decision/State.java
@@ -185,6 +185,8 @@
         final double at, expected;
         int word = -1;
         boolean cancelled;
+        /** A note said that it stands still behind a load: how long it takes tells nothing of its engine. */
+        boolean stoodStill;
         Outcome outcome;
 
         Attempt(Query query, Node node, int number, double at, double expected) {
--- a/src/main/java/quincespar/program/FrontEnd.java
+++ b/src/main/java/quincespar/program/FrontEnd.java
@@ -85,6 +85,14 @@
         System.err.println(configuration.name() + ": stopped: " + report());
     }
 
+    /** Writes the counters to the log every so often, from now on. */
+    void reportEvery(long everyMs) {
+        timers.after(everyMs, () -> {
+            System.err.println(configuration.name() + ": counters: " + report());
+            reportEvery(everyMs);
+        });
+    }
+
     /** The configuration has been replaced; called from another thread, at any time from the start on. */
     void hangup() {
         inputs.add(new Input.Hangup());
@@ -175,6 +183,7 @@
         Map<String, String> all = new LinkedHashMap<>(counters.all());
         all.put("phase", lifecycle.phase().name().toLowerCase(java.util.Locale.ROOT));
         reducer.held().forEach((name, n) -> all.put(name, n.toString()));
+        reducer.tally().forEach((name, n) -> all.put(name, n.toString()));
         all.put("held.timers", Integer.toString(timers.size()));
         all.put("held.inputs", Integer.toString(inputs.size()));
         all.put("requests.open", Integer.toString(reducer.open()));
--- a/src/main/java/quincespar/program/Main.java
+++ b/src/main/java/quincespar/program/Main.java
@@ -57,8 +57,13 @@
     }
 
     @Command(name = "serve", description = "Serve clients, as GW_CONFIG, GW_LISTEN and GW_NAME say.")
-    int serve() throws IOException, InterruptedException {
+    int serve(@CommandLine.Option(names = "--report", paramLabel = "MS", defaultValue = "0",
+            description = "Write the counters to the log every so many milliseconds; 0, the default, is never.")
+            long reportMs) throws IOException, InterruptedException {
         FrontEnd frontEnd = new FrontEnd(System.getenv());
+        if (reportMs > 0) {
+            frontEnd.reportEvery(reportMs);
+        }
         Signal.handle(new Signal("HUP"), s -> frontEnd.hangup()); // left alone, it would end the program
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             try {
--- a/src/main/java/quincespar/routing/Reducer.java
+++ b/src/main/java/quincespar/routing/Reducer.java
@@ -52,6 +52,7 @@
     /** By the client's name for it, until nothing of it is out: an engine knows it by that name only. */
     private final Map<String, OpenRequest> names = new HashMap<>();
     private final Fronts fronts = new Fronts();
+    private final Tally tally = new Tally();
     private final Map<Long, Link> links = new LinkedHashMap<>();
     private final Map<String, Link> probes = new LinkedHashMap<>();
     private List<Effect> effects = new ArrayList<>();
@@ -101,6 +102,11 @@
         return callers.size();
     }
 
+    /** What became of attempts and requests, by cause and class, for the counters. */
+    public Map<String, Long> tally() {
+        return tally.all();
+    }
+
     /** What is held, by name, for the counters. */
     public Map<String, Integer> held() {
         Map<String, Integer> out = new LinkedHashMap<>();
@@ -284,6 +290,7 @@
         } else if (action instanceof Gateway.Cancel a) {
             Attempt at = attempt(new AttemptKey(a.id(), a.attempt()));
             if (at != null) {
+                tally.count("cut", a.why(), className(at.request));
                 giveUp(at, Outcome.CANCELLED);
             }
         } else if (action instanceof Gateway.SetTimer a) {
@@ -305,6 +312,10 @@
         }
     }
 
+    private String className(OpenRequest r) {
+        return site.module().classes().get(r.query.cls()).name();
+    }
+
     private boolean unsafe(OpenRequest r) {
         return site.module().classes().get(r.query.cls()).effect() == Gateway.Effect.UNSAFE;
     }
@@ -369,6 +380,8 @@
             return;
         }
         a.outcome = outcome;
+        tally.count(a.link == null ? "unsent" : "ended", outcome, className(a.request));
+        tally.add("ms", outcome, className(a.request), Math.round(now - a.at));
         effects.add(new Effect.StopTimer(new TimerKey.Attempt(a.key)));
         if (a.givenUp != null) {
             effects.add(new Effect.StopTimer(new TimerKey.GiveUp(a.key)));
--- /dev/null
+++ b/src/main/java/quincespar/routing/Tally.java
@@ -0,0 +1,33 @@
+package quincespar.routing;
+
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * Counts what becomes of attempts and answers, by cause and class: which class loses how many attempts to what.
+ * Names are few by construction: a fixed word, a cause from an enum, a class from the settings.
+ */
+final class Tally {
+    private final Map<String, AtomicLong> counts = new ConcurrentHashMap<>();
+
+    /** Counts one; the name is {@code what.cause.cls} in lower case. */
+    void count(String what, Enum<?> cause, String cls) {
+        add(what, cause, cls, 1);
+    }
+
+    /** Adds to a sum; the name is {@code what.cause.cls} in lower case. */
+    void add(String what, Enum<?> cause, String cls, long more) {
+        counts.computeIfAbsent(what + "." + cause.name().toLowerCase(Locale.ROOT) + "." + cls,
+                name -> new AtomicLong()).addAndGet(more);
+    }
+
+    /** All that have been counted, by name; may be asked for on any thread. */
+    Map<String, Long> all() {
+        Map<String, Long> out = new TreeMap<>();
+        counts.forEach((name, n) -> out.put(name, n.get()));
+        return out;
+    }
+}
--- a/src/test/java/quincespar/decision/MechanismTest.java
+++ b/src/test/java/quincespar/decision/MechanismTest.java
@@ -254,15 +254,10 @@
 
     @Test
     void aQueryThatWaitsForAnothersLoadGoesElsewhereAndOthersOfItsTablesToo() {
-        Rig r = new Rig();
-        r.classes.add(new Gateway.ClassSpec("waits", 1000, 0, 4000, 1, 0.5, Gateway.Effect.SAFE, Gateway.Scope.ALL,
-                3000, false, false, 1, false, true, null, null));
-        r.classes.add(new Gateway.ClassSpec("load", 3000, 0, 9000, 5, 0.5, Gateway.Effect.UNSAFE, Gateway.Scope.ALL,
-                3000, false, false, 2, true, false, null, null));
-        r.start(Rig.ready(10), Rig.ready(11));
+        Rig r = withLoads().start(Rig.ready(10), Rig.ready(11));
         long held = Rig.sends(r.tell(waiting(1))).get(0).engine();
         List<Action> cut = r.after(60, new Gateway.Note(1, 0, held, Gateway.NoteKind.WAIT, 2));
-        assertEquals(List.of(new Gateway.Cancel(1, 0)), Rig.all(cut, Gateway.Cancel.class));
+        assertEquals(List.of(new Gateway.Cancel(1, 0, Gateway.Why.HELD)), Rig.all(cut, Gateway.Cancel.class));
         List<Send> again = Rig.sends(r.after(1, Rig.end(1, 0, held, Outcome.CANCELLED, 61)));
         again = new ArrayList<>(again);
         for (int i = 2; i < 6; i++) {
@@ -272,6 +267,70 @@
         assertTrue(again.stream().allMatch(s -> s.engine() != held), "tables are held at " + held + ": " + again);
     }
 
+    /** A class that stands still behind loads, and one of loads. */
+    private static Rig withLoads() {
+        Rig r = new Rig();
+        r.classes.add(new Gateway.ClassSpec("waits", 1000, 0, 4000, 1, 0.5, Gateway.Effect.SAFE, Gateway.Scope.ALL,
+                3000, false, false, 1, false, true, null, null));
+        r.classes.add(new Gateway.ClassSpec("load", 3000, 0, 9000, 5, 0.5, Gateway.Effect.UNSAFE, Gateway.Scope.ALL,
+                3000, false, false, 2, true, false, null, null));
+        return r;
+    }
+
+    private static Gateway.Note heldBehindLoad(Send s) {
+        return new Gateway.Note(s.id(), 0, s.engine(), Gateway.NoteKind.WAIT, 2);
+    }
+
+    /** Seen: five attempts used up within 10 ms on engines just heard to be held, the fifth stood still there. */
+    @Test
+    void aQueryWaitsHereWhileAllEnginesAreHeardToBeHeldAndGoesWhenThatIsOld() {
+        Rig r = withLoads().start(Rig.ready(10), Rig.ready(11));
+        for (int i = 1; i <= 2; i++) {
+            Send s = Rig.sends(r.tell(waiting(i))).get(0);
+            r.after(2, heldBehindLoad(s));
+            r.after(1, Rig.end(i, 0, s.engine(), Outcome.CANCELLED, 3), new Gateway.Left(i));
+        }
+        assertEquals(List.of(), Rig.sends(r.tell(waiting(3))));
+        assertEquals(List.of(), Rig.sends(r.after(200, new Timer(1))));
+        assertEquals(1, Rig.sends(r.after(150, new Timer(1))).size());
+    }
+
+    /** Seen: lookups that stood still for 600 ms cut their engines' bounds to the floor, and the rest was refused. */
+    @Test
+    void timeSpentBehindALoadNeitherCutsTheBoundNorCountsAsSilence() {
+        int[] room = new int[2];
+        for (int held = 0; held < 2; held++) {
+            Rig r = withLoads();
+            r.routers = 4; // its part of the engine is two threads, and what it learns widens that
+            r.start(Rig.ready(10));
+            for (int i = -200; i < 0; i += 5) {
+                List<Send> out = Rig.sends(r.tell(waiting(i), waiting(i + 1), waiting(i + 2), waiting(i + 3),
+                        waiting(i + 4)));
+                while (!out.isEmpty()) {
+                    List<Gateway.Event> ends = new ArrayList<>();
+                    out.forEach(s -> ends.add(Rig.end(s.id(), 0, s.engine(), Outcome.OK, 100)));
+                    out = Rig.sends(r.after(100, ends.toArray(Gateway.Event[]::new)));
+                }
+            }
+            for (int i = 100; held == 1 && i < 130; i++) {
+                for (Send s : Rig.sends(r.after(400, waiting(i)))) {
+                    r.after(2, heldBehindLoad(s));
+                    Outcome end = i % 2 == 0 ? Outcome.OK : Outcome.TIMEOUT;
+                    for (int ms = 0; ms < 3000; ms += 5) { // its timers in between, or it would look like a stall
+                        r.after(5, new Timer(1));
+                    }
+                    r.tell(Rig.end(s.id(), 0, s.engine(), end, 3000), new Gateway.Left(s.id()));
+                }
+            }
+            r.after(2000, new Timer(1));
+            for (int i = 1000; i < 1040; i++) {
+                room[held] += Rig.sends(r.tell(waiting(i))).size();
+            }
+        }
+        assertTrue(room[0] > 4, "room " + room[0]);
+        assertEquals(room[0], room[1]);
+    }
+
     @Test
     void aShunnedEngineIsTriedAgainAlthoughOlderAttemptsHangThere() {
         Rig r = new Rig();
--- a/src/test/java/quincespar/routing/ReducerTest.java
+++ b/src/test/java/quincespar/routing/ReducerTest.java
@@ -143,7 +143,7 @@
     void aCancelledAttemptEndsOnlyWhenItsCancelIsWritten() {
         Effect.Send s = sent(0);
         begun(s);
-        plan.add(new Gateway.Cancel(requestNumber(), 0));
+        plan.add(new Gateway.Cancel(requestNumber(), 0, Gateway.Why.SLOW));
         step(new Input.TimerFired(new TimerKey.Module(1, 1)));
         assertThat(of(Effect.Cancel.class, effects)).hasSize(1);
         assertThat(outcome()).isNull();
@@ -155,7 +155,7 @@
     void aRetryOnTheSameEngineFollowsItsCancelOnTheSameLink() {
         Effect.Send s = sent(0);
         begun(s);
-        plan.add(new Gateway.Cancel(requestNumber(), 0));
+        plan.add(new Gateway.Cancel(requestNumber(), 0, Gateway.Why.SLOW));
         step(new Input.TimerFired(new TimerKey.Module(1, 1)));
         plan.add(new Gateway.Send(requestNumber(), engine(0), 0));
         step(new Input.CancelWritten(s.key()));
