--- a/src/test/java/quincespar/transport/ConnectionTest.java
+++ b/src/test/java/quincespar/transport/ConnectionTest.java
@@ -158,10 +158,13 @@
             Connection c = accepted(new OutboxBound(100, 100));
             CountDownLatch arrived = new CountDownLatch(1);
             c.start(handler);
+            CountDownLatch held = new CountDownLatch(1);
             loop.execute(() -> { // holds the loop up, as a busy core does, until bytes have come
                 c.closeIfQuiet("idle");
+                held.countDown();
                 await(arrived);
             });
+            held.await();
             peer.getOutputStream().write(new byte[3]);
             arrived.countDown();
             assertThat(told.take()).isEqualTo("not quiet");
