--- /dev/null
+++ b/src/main/java/quincespar/membership/Membership.java
@@ -0,0 +1,217 @@
+package quincespar.membership;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import quincespar.protocol.FleetEvent;
+import quincespar.protocol.FleetEvent.Member;
+
+/**
+ * Follows the change log. One question is out at any time, or a pause runs after one that failed: never neither, or
+ * the list would stay as it is for good, and never both. Each question and each wait has a number of its own, so that
+ * what comes late of an earlier one (an answer of the old address, a timer that had fired when it was stopped) is told
+ * from what is awaited. Times are milliseconds on one clock that never runs backwards.
+ *
+ * <p>Losing the change log does not stop the service: the list stays as it was last told, its age is known
+ * ({@link #age}), and it is said once when that passes {@link #STALE}.
+ */
+public final class Membership {
+    /** What is to be done. */
+    public sealed interface Act { }
+
+    /** Ask the change log at an address for what came after an event; it may wait for so long before it answers. */
+    public record Ask(long question, String address, long since, long waitMs) implements Act { }
+
+    /** Give up what is asked, and the connection with it. */
+    public record Drop() implements Act { }
+
+    /** Say {@link #due} with this number after a delay. */
+    public record Await(long serial, double delayMs) implements Act { }
+
+    /** Say no more of this wait. It may have been said already and be on its way. */
+    public record Forget(long serial) implements Act { }
+
+    /** An event was told that had not been told before; {@code removed} are those that a complete list left out. */
+    public record Learned(FleetEvent event, List<Member> removed) implements Act { }
+
+    /** Tell the operators. */
+    public record Say(String line) implements Act { }
+
+    /** Where it stands. */
+    public enum Phase {
+        /** Nothing was asked yet. */
+        NEW,
+        /** A question is out. */
+        ASKING,
+        /** The last question failed, and the next one waits. */
+        PAUSING
+    }
+
+    /** A question is shorter than the protocol allows: one lost in silence is then noticed within the 7 s. */
+    static final long POLL = 2000;
+    /** How much later than that an answer may come. */
+    static final double POLL_SLACK = 1000;
+    /** The first pause after a failure, and the longest: what was missed counts as told 2 s after a break. */
+    static final double PAUSE = 250, LONGEST_PAUSE = 1000;
+    /** An answer at least every so often is usual; older, the list is called stale. */
+    static final double STALE = 10_000;
+
+    private final Members members = new Members();
+    private List<Act> acts = new ArrayList<>();
+    private Phase phase = Phase.NEW;
+    private double now;
+    private String address;
+    /** The last event taken, and what is asked from. Never one that an answer only claims: it may have lost events. */
+    private long taken;
+    /** The number that an answer ran ahead to without its events. */
+    private long claimed;
+    private long serial;
+    private long question;
+    private long wait;
+    private int failures;
+    private double answeredAt;
+    private boolean toldStale;
+
+    /** Begins with what is known at the start; asks at once. */
+    public List<Act> start(double time, String at, List<FleetEvent> known) {
+        now = time;
+        answeredAt = time;
+        address = at;
+        learn(known);
+        ask();
+        return taken();
+    }
+
+    /**
+     * An answer came whole: events up to and with number {@code seq}. One to an earlier question is no news. Where
+     * the number runs ahead of the events, they are asked for again at once, and from then on after pauses: such a
+     * change log would answer at once each time.
+     */
+    public List<Act> answered(double time, long asked, long seq, List<FleetEvent> events) {
+        now = Math.max(now, time);
+        if (phase == Phase.ASKING && asked == question) {
+            answeredAt = now;
+            failures = seq == claimed ? failures : 0;
+            if (toldStale) {
+                acts.add(new Say("the change log answers again; the list holds " + members.all().size() + " engines"));
+                toldStale = false;
+            }
+            acts.add(new Forget(wait));
+            learn(events);
+            if (seq > taken && seq == claimed) {
+                pause();
+            } else {
+                claimed = seq > taken ? seq : 0;
+                ask();
+            }
+        }
+        return taken();
+    }
+
+    /** A question failed, or its connection did. */
+    public List<Act> failed(double time, long asked, String cause) {
+        now = Math.max(now, time);
+        if (phase == Phase.ASKING && asked == question) {
+            failed(cause);
+        }
+        return taken();
+    }
+
+    /** A wait is over. */
+    public List<Act> due(double time, long which) {
+        now = Math.max(now, time);
+        if (which == wait) { // else it was stopped when it had fired already
+            if (phase == Phase.ASKING) {
+                failed("no answer in time");
+            } else if (phase == Phase.PAUSING) {
+                ask();
+            }
+        }
+        return taken();
+    }
+
+    /**
+     * The change log is at another address from now on: asked there at once, from the same event. Guards against
+     * going on with the old one, which tells nothing more and closes: drains would not be heard of.
+     */
+    public List<Act> moved(double time, String to) {
+        now = Math.max(now, time);
+        acts.add(new Say("change log at " + to + " from event " + taken));
+        address = to;
+        failures = 0;
+        acts.add(new Forget(wait));
+        acts.add(new Drop());
+        ask();
+        return taken();
+    }
+
+    /** Milliseconds since the change log last answered whole. */
+    public double age(double time) {
+        return Math.max(0, time - answeredAt);
+    }
+
+    /** The number of the last event taken. */
+    public long seq() {
+        return taken;
+    }
+
+    /** Where it stands. */
+    public Phase phase() {
+        return phase;
+    }
+
+    /** The engines as told, without those removed. */
+    public Collection<Member> members() {
+        return members.all();
+    }
+
+    private List<Act> taken() {
+        List<Act> out = acts;
+        acts = new ArrayList<>();
+        return out;
+    }
+
+    /** Takes what was not told before; numbers of news that is not for us count, and tell nothing. */
+    private void learn(List<FleetEvent> events) {
+        List<FleetEvent> inOrder = new ArrayList<>(events);
+        inOrder.sort(Comparator.comparingLong(FleetEvent::seq));
+        for (FleetEvent e : inOrder) {
+            if (e.seq() > taken) { // else told before
+                taken = e.seq();
+                if (e.complete() || !e.members().isEmpty()) {
+                    acts.add(new Learned(e, members.take(e)));
+                }
+            }
+        }
+    }
+
+    private void ask() {
+        phase = Phase.ASKING;
+        question = ++serial;
+        acts.add(new Ask(question, address, taken, POLL));
+        await(POLL + POLL_SLACK);
+    }
+
+    private void failed(String cause) {
+        acts.add(new Say("change log: " + cause));
+        acts.add(new Forget(wait));
+        acts.add(new Drop());
+        if (age(now) > STALE && !toldStale) {
+            toldStale = true;
+            acts.add(new Say("the change log has not answered for " + Math.round(age(now) / 1000)
+                    + " s; the list stays as it was told, with " + members.all().size() + " engines"));
+        }
+        pause();
+    }
+
+    private void pause() {
+        phase = Phase.PAUSING;
+        await(Math.min(LONGEST_PAUSE, PAUSE * (1 << Math.min(failures++, 4))));
+    }
+
+    private void await(double delay) {
+        wait = ++serial;
+        acts.add(new Await(wait, delay));
+    }
+}
--- a/src/main/java/quincespar/program/ChangeLog.java
+++ b/src/main/java/quincespar/program/ChangeLog.java
@@ -2,6 +2,8 @@
 
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.function.Consumer;
 import quincespar.protocol.ChangeLogCodec;
 import quincespar.protocol.MalformedException;
@@ -45,18 +47,22 @@
         private final ResponseDecoder decoder = new ResponseDecoder();
         private final InetSocketAddress address;
         private final Connection connection;
-        private volatile long serial;
+        /** The questions that are open here, oldest first: answers come in the order of the questions. */
+        private final Queue<Long> asked = new ConcurrentLinkedQueue<>();
+        /** The last question, which a failure of the connection fails. */
+        private volatile long last;
 
         /** The number is set before the dial: a port that is closed may say so before anything is asked. */
-        Exchange(InetSocketAddress address, long serial) {
+        Exchange(InetSocketAddress address, long first) {
             this.address = address;
-            this.serial = serial;
+            last = first;
             connection = Connection.dialled(loop, "changes", bound);
             connection.dial(address, this);
         }
 
         boolean ask(Effect.Poll e) {
-            serial = e.serial();
+            last = e.serial();
+            asked.add(last);
             String request = "GET /changes?since=" + e.since() + "&timeout=" + e.waitMs() + " HTTP/1.1\r\nHost: "
                     + address.getHostString() + ":" + address.getPort() + "\r\nAccept: application/json\r\n\r\n";
             return connection.send(request.getBytes(StandardCharsets.US_ASCII));
@@ -67,7 +73,7 @@
             try {
                 decoder.feed(bytes, count, this::answered);
             } catch (MalformedException e) { // asked again after a pause; the list that we have is kept
-                post.accept(new Input.ChangesFailed(serial, e.getMessage()));
+                post.accept(new Input.ChangesFailed(last, e.getMessage()));
                 connection.close("malformed");
             }
         }
@@ -77,12 +83,16 @@
                 throw new MalformedException("status " + r.status());
             }
             ChangeLogCodec.Changes c = ChangeLogCodec.read(r.body());
-            post.accept(new Input.Changes(serial, c.seq(), c.events()));
+            Long question = asked.poll();
+            if (question == null) {
+                throw new MalformedException("an answer to no question");
+            }
+            post.accept(new Input.Changes(question, c.seq(), c.events()));
         }
 
         @Override
         public void closed(String cause) {
-            post.accept(new Input.ChangesFailed(serial, cause));
+            post.accept(new Input.ChangesFailed(last, cause));
         }
     }
 }
--- a/src/main/java/quincespar/program/FrontEnd.java
+++ b/src/main/java/quincespar/program/FrontEnd.java
@@ -55,8 +55,7 @@
     void run() throws InterruptedException {
         new Warmup(configuration, front).run();
         engineLoop.start();
-        perform(reducer.start(clock.now(), configuration.changeLog(), configuration.known().seq(),
-                configuration.known().events()));
+        perform(reducer.start(clock.now(), configuration.changeLog(), configuration.known().events()));
         front.start(listener);
         clientLoop.start();
         lifecycle.enter(Phase.SERVING);
@@ -183,6 +182,7 @@
         Map<String, String> all = new LinkedHashMap<>(counters.all());
         all.put("phase", lifecycle.phase().name().toLowerCase(java.util.Locale.ROOT));
         reducer.held().forEach((name, n) -> all.put(name, n.toString()));
+        all.put("changes.age_ms", Long.toString(Math.round(reducer.listAge(clock.now()))));
         reducer.tally().forEach((name, n) -> all.put(name, n.toString()));
         all.put("held.timers", Integer.toString(timers.size()));
         all.put("held.inputs", Integer.toString(inputs.size()));
--- a/src/main/java/quincespar/program/Main.java
+++ b/src/main/java/quincespar/program/Main.java
@@ -9,6 +9,7 @@
 import quincespar.simulator.WireException;
 import quincespar.simulator.WireHost;
 import sun.misc.Signal;
+import sun.misc.SignalHandler;
 
 /** The command line. */
 @Command(name = "quincespar", description = "A front end before shared query engines.",
@@ -64,7 +65,11 @@
         if (reportMs > 0) {
             frontEnd.reportEvery(reportMs);
         }
-        Signal.handle(new Signal("HUP"), s -> frontEnd.hangup()); // left alone, it would end the program
+        // left alone, it would end the program; where the parent had it ignored, the JVM leaves it so
+        if (Signal.handle(new Signal("HUP"), s -> frontEnd.hangup()) == SignalHandler.SIG_IGN) {
+            System.err.println("quincespar: SIGHUP is ignored by whoever started this program, so that a new"
+                    + " configuration will not be heard of; start it by 'env --default-signal=HUP'");
+        }
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             try {
                 frontEnd.leave();
--- a/src/main/java/quincespar/program/Warmup.java
+++ b/src/main/java/quincespar/program/Warmup.java
@@ -52,7 +52,7 @@
                 new Brain(configuration.site().module(), configuration.seed()));
         long until = System.nanoTime() + (long) (BUDGET_MS * 1e6);
         now = System.currentTimeMillis();
-        follow(scratch.start(now, configuration.changeLog(), configuration.known().seq(), configuration.known().events()));
+        follow(scratch.start(now, configuration.changeLog(), configuration.known().events()));
         List<ClassSpec> classes = configuration.site().module().classes();
         for (int i = 0; i < MOST && (i < LEAST || System.nanoTime() < until); i++) {
             now++;
--- a/src/main/java/quincespar/protocol/ChangeLogCodec.java
+++ b/src/main/java/quincespar/protocol/ChangeLogCodec.java
@@ -23,13 +23,16 @@
         List<FleetEvent> events = new ArrayList<>();
         for (Object r : Json.list(all.get("results"), "results")) {
             Map<String, Object> event = Json.object(r, "an event");
-            if (event.containsKey("fleet")) { // other kinds of news may come and are not for this program
-                events.add(event(event));
-            }
+            events.add(event.containsKey("fleet") ? event(event) : otherNews(event));
         }
         return new Changes((long) Json.number(all.get("seq"), "seq"), events);
     }
 
+    /** Other kinds of news may come and are not for this program; their numbers count all the same. */
+    private static FleetEvent otherNews(Map<String, Object> event) {
+        return new FleetEvent((long) Json.number(event.get("seq"), "seq"), 0, false, List.of());
+    }
+
     private static FleetEvent event(Map<String, Object> event) {
         Map<String, Object> fleet = Json.object(event.get("fleet"), "fleet");
         List<FleetEvent.Member> members = new ArrayList<>();
--- a/src/main/java/quincespar/routing/Fleet.java
+++ b/src/main/java/quincespar/routing/Fleet.java
@@ -51,25 +51,14 @@
         return engines.values().stream().anyMatch(Engine::ready);
     }
 
-    /** Takes one event of the change log, and words it for the module. */
-    Gateway.Listed take(FleetEvent event) {
+    /** Takes one event of the change log and whom it leaves out, and words it for the module. */
+    Gateway.Listed take(FleetEvent event, List<FleetEvent.Member> removed) {
         Gateway.ListKind kind = !event.complete() ? Gateway.ListKind.DELTA
                 : listed ? Gateway.ListKind.FULL : Gateway.ListKind.CACHED;
         listed = true;
         List<Gateway.Engine> told = new ArrayList<>();
-        List<Long> named = new ArrayList<>();
-        for (FleetEvent.Member m : event.members()) {
-            Engine e = engine(m);
-            named.add(e.number);
-            told.add(word(e));
-        }
-        if (event.complete()) {
-            for (Engine e : engines.values()) {
-                if (!named.contains(e.number)) {
-                    e.listed = e.listed.removed();
-                }
-            }
-        }
+        event.members().forEach(m -> told.add(word(engine(m))));
+        removed.forEach(this::engine);
         return new Gateway.Listed(kind, event.revision(), told);
     }
 
--- a/src/main/java/quincespar/routing/Reducer.java
+++ b/src/main/java/quincespar/routing/Reducer.java
@@ -9,6 +9,7 @@
 import quincespar.decision.Gateway.Action;
 import quincespar.decision.Gateway.Event;
 import quincespar.decision.Gateway.Outcome;
+import quincespar.membership.Membership;
 import quincespar.protocol.FleetEvent;
 
 /**
@@ -37,16 +38,13 @@
     private static final int MOST_LINKS = 8;
     /** Requests that share a link while the engine may have another. */
     private static final int SHARED = 8;
-    /** A poll is shorter than the protocol allows: one lost in silence is then noticed within the 7 s. */
-    private static final long POLL = 2000;
-    private static final double POLL_SLACK = 1000;
-    private static final double POLL_PAUSE = 250;
     private static final int MOST_BYTES = 48_000;
 
     private final Site site;
     private final Bounds bounds;
     private final Gateway gateway;
     private final Fleet fleet;
+    private final Membership membership = new Membership();
     private final Map<Long, OpenRequest> requests = new LinkedHashMap<>();
     private final Map<Caller, OpenRequest> callers = new LinkedHashMap<>();
     /** By the client's name for it, until nothing of it is out: an engine knows it by that name only. */
@@ -59,9 +57,6 @@
     private List<Event> events = new ArrayList<>();
     private double now;
     private long serial;
-    private long poll;
-    private long seq;
-    private String changeLog;
     private long reread;
     private double decidedAt;
     private boolean tickAsked;
@@ -75,12 +70,9 @@
     }
 
     /** The first step: the events of the start, and the first question to the change log. */
-    public List<Effect> start(double time, String changeLogAt, long lastSeq, List<FleetEvent> known) {
+    public List<Effect> start(double time, String changeLogAt, List<FleetEvent> known) {
         now = time;
-        changeLog = changeLogAt;
-        seq = lastSeq;
-        known.forEach(e -> events.add(fleet.take(e)));
-        ask();
+        follow(membership.start(now, changeLogAt, known));
         return decide();
     }
 
@@ -102,6 +94,11 @@
         return callers.size();
     }
 
+    /** Milliseconds since the change log last answered whole. */
+    public double listAge(double time) {
+        return membership.age(time);
+    }
+
     /** What became of attempts and requests, by cause and class, for the counters. */
     public Map<String, Long> tally() {
         return tally.all();
@@ -184,14 +181,15 @@
         } else if (i instanceof Input.HealthAsked x) {
             effects.add(new Effect.AnswerHealth(x.caller(), fleet.canServe()));
         } else if (i instanceof Input.Changes x) {
-            changes(x);
-        } else if (i instanceof Input.ChangesFailed x && x.serial() == poll) {
-            pollFailed(x.cause());
+            follow(membership.answered(now, x.serial(), x.seq(), x.events()));
+        } else if (i instanceof Input.ChangesFailed x) {
+            follow(membership.failed(now, x.serial(), x.cause()));
         } else if (i instanceof Input.Hangup) {
             reread = ++serial;
             effects.add(new Effect.Reread(reread));
         } else if (i instanceof Input.Reconfigured x && x.serial() == reread) {
-            moveTo(x.changeLog());
+            // requests, links and the fleet stay as they are; the file may be replaced again soon, the last one counts
+            follow(membership.moved(now, x.changeLog()));
         } else if (i instanceof Input.ReconfigureFailed x && x.serial() == reread) {
             effects.add(new Effect.Log("the configuration stays as it was: " + x.cause()));
         }
@@ -603,20 +601,29 @@
 
     // ---- the list of engines -----------------------------------------------------------------------------
 
-    private void changes(Input.Changes x) {
-        if (x.serial() != poll) {
-            return;
-        }
-        effects.add(new Effect.StopTimer(new TimerKey.Poll(poll)));
-        for (FleetEvent e : x.events()) {
-            if (e.seq() > seq) { // told before
-                events.add(fleet.take(e));
+    /** Carries out what following the change log takes, and passes on what it has told. */
+    private void follow(List<Membership.Act> acts) {
+        boolean news = false;
+        for (Membership.Act act : acts) {
+            if (act instanceof Membership.Ask a) {
+                effects.add(new Effect.Poll(a.question(), a.address(), a.since(), a.waitMs()));
+            } else if (act instanceof Membership.Drop) {
+                effects.add(new Effect.DropPoll());
+            } else if (act instanceof Membership.Await a) {
+                startTimer(new TimerKey.Changes(a.serial()), a.delayMs());
+            } else if (act instanceof Membership.Forget a) {
+                effects.add(new Effect.StopTimer(new TimerKey.Changes(a.serial())));
+            } else if (act instanceof Membership.Learned a) {
+                events.add(fleet.take(a.event(), a.removed()));
+                news = true;
+            } else if (act instanceof Membership.Say a) {
+                effects.add(new Effect.Log(a.line()));
             }
         }
-        seq = Math.max(seq, x.seq());
-        fleet.all().forEach(this::review);
-        fleet.tidy();
-        ask();
+        if (news) {
+            fleet.all().forEach(this::review);
+            fleet.tidy();
+        }
     }
 
     /** After news of an engine: nothing goes out to one that is not ready, and old processes' links end. */
@@ -637,34 +644,6 @@
         }
     }
 
-    /**
-     * A new configuration: the change log is asked at its new address at once, with the same number. Guards
-     * against going on with the old one, which tells nothing more and closes: drains would not be heard of.
-     * Requests, links and the fleet stay as they are. The file may be replaced again soon; the last one counts.
-     */
-    private void moveTo(String address) {
-        effects.add(new Effect.Log("change log at " + address + " from event " + seq));
-        changeLog = address;
-        effects.add(new Effect.StopTimer(new TimerKey.Poll(poll)));
-        effects.add(new Effect.StopTimer(new TimerKey.PollAgain()));
-        effects.add(new Effect.DropPoll());
-        ask();
-    }
-
-    private void ask() {
-        poll = ++serial;
-        effects.add(new Effect.Poll(poll, changeLog, seq, POLL));
-        startTimer(new TimerKey.Poll(poll), POLL + POLL_SLACK);
-    }
-
-    private void pollFailed(String cause) {
-        effects.add(new Effect.Log("change log: " + cause));
-        effects.add(new Effect.StopTimer(new TimerKey.Poll(poll)));
-        effects.add(new Effect.DropPoll());
-        poll = 0;
-        startTimer(new TimerKey.PollAgain(), POLL_PAUSE);
-    }
-
     // ---- timers ------------------------------------------------------------------------------------------
 
     private void startTimer(TimerKey key, double delay) {
@@ -709,10 +688,8 @@
             }
         } else if (key instanceof TimerKey.Probe k) {
             probed(k.tag(), false, List.of());
-        } else if (key instanceof TimerKey.Poll k && k.serial() == poll) {
-            pollFailed("no answer in time");
-        } else if (key instanceof TimerKey.PollAgain) {
-            ask();
+        } else if (key instanceof TimerKey.Changes k) {
+            follow(membership.due(now, k.serial()));
         }
     }
 }
--- a/src/main/java/quincespar/routing/TimerKey.java
+++ b/src/main/java/quincespar/routing/TimerKey.java
@@ -32,9 +32,6 @@
     /** A probe ought to be answered by now. */
     record Probe(String tag) implements TimerKey { }
 
-    /** The change log ought to have answered by now. */
-    record Poll(long serial) implements TimerKey { }
-
-    /** The pause before the change log is asked again is over. */
-    record PollAgain() implements TimerKey { }
+    /** The change log ought to have answered by now, or may be asked again. */
+    record Changes(long serial) implements TimerKey { }
 }
--- /dev/null
+++ b/src/test/java/quincespar/program/RestartTest.java
@@ -0,0 +1,149 @@
+package quincespar.program;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * A planned restart amid a crowd that connects and says nothing, as in the recorded incident: every request of the
+ * usual clients that was written whole to a connection which the system took is answered, and the crowd does not
+ * delay the end.
+ */
+@Timeout(60)
+class RestartTest {
+    private static final int CROWD = 300;
+    private static final int CLIENTS = 20;
+
+    private final AtomicBoolean stopping = new AtomicBoolean();
+    private final AtomicInteger lost = new AtomicInteger();
+    private final AtomicInteger answered = new AtomicInteger();
+
+    @Test
+    void noRequestIsLostInARestartAmidASilentCrowd(@TempDir Path folder) throws Exception {
+        Peers.Engine engine = new Peers.Engine();
+        Peers.Changes changes = new Peers.Changes();
+        int port;
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            port = free.getLocalPort();
+        }
+        Path file = Files.writeString(folder.resolve("config.json"), """
+            {"name":"n1","listen":"127.0.0.1:%d","seed":"1","limits":{"sockets":384,"memory_mb":144},
+             "changelog":"127.0.0.1:%d","known":{"seq":1,"results":[{"seq":1,"fleet":{"revision":1,"complete":true,
+             "members":[{"id":"s-1","host_port":"127.0.0.1:%d","phase":"up","size":4}]}}]},
+             "settings":{"tick":5,"limits":{"cancelling":true,"maxAttempts":3,"maxStreams":100},
+             "projects":[{"name":"acme","quotaPerS":500,"share":1}],"requestClasses":[
+             {"name":"lookup","slo":2000,"hardLimit":4000,"effect":"safe","points":1}]}}
+            """.formatted(port, changes.server.getLocalPort(), engine.server.getLocalPort()));
+        FrontEnd frontEnd = new FrontEnd(Map.of("GW_CONFIG", file.toString()));
+        ExecutorService pool = Executors.newCachedThreadPool(r -> {
+            Thread t = new Thread(r);
+            t.setDaemon(true);
+            return t;
+        });
+        Future<?> running = pool.submit(() -> {
+            frontEnd.run();
+            return null;
+        });
+        pool.submit(() -> serveAll(engine));
+        try (Peers.Client c = new Peers.Client(port)) {
+            while (!c.healthy()) {
+                Thread.onSpinWait();
+            }
+        }
+        List<Socket> crowd = new ArrayList<>();
+        Future<?> crowding = pool.submit(() -> crowd(port, crowd));
+        List<Future<?>> clients = new ArrayList<>();
+        for (int i = 0; i < CLIENTS; i++) {
+            int number = i;
+            clients.add(pool.submit(() -> client(port, number)));
+        }
+        while (answered.get() < 5 * CLIENTS) {
+            Thread.onSpinWait();
+        }
+        Future<?> leaving = pool.submit(() -> {
+            frontEnd.leave();
+            return null;
+        });
+        int before = answered.get();
+        while (answered.get() < before + CLIENTS) { // requests keep coming for a while after the word to stop
+            Thread.onSpinWait();
+        }
+        stopping.set(true);
+        join(clients);
+        leaving.get();
+        running.get();
+        crowding.get();
+        for (Socket s : crowd) {
+            s.close();
+        }
+        pool.shutdownNow();
+        assertThat(lost).hasValue(0);
+        assertThat(answered.get()).isGreaterThan(6 * CLIENTS - 1);
+    }
+
+    private static void join(List<Future<?>> all) throws InterruptedException, ExecutionException {
+        for (Future<?> f : all) {
+            f.get();
+        }
+    }
+
+    private Void serveAll(Peers.Engine engine) throws InterruptedException {
+        while (true) {
+            Peers.Engine.Command c = engine.commands.take();
+            if (c.words().get(0).equals("serve")) {
+                c.answer(c.id(), "DONE", "count=1", "row\ta\tb\n");
+            }
+        }
+    }
+
+    /** Connects as often as the system lets it, and says nothing. */
+    private Void crowd(int port, List<Socket> all) {
+        for (int i = 0; i < CROWD && !stopping.get(); i++) {
+            Socket s = new Socket();
+            try {
+                s.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), 1000);
+                all.add(s);
+            } catch (IOException e) {
+                return null; // it takes no more: that is what a crowd meets at the end
+            }
+        }
+        return null;
+    }
+
+    /** Asks on a connection of its own, again and again, a new connection every fifth time. */
+    private Void client(int port, int number) throws IOException {
+        for (int round = 0; !stopping.get(); round++) {
+            try (Peers.Client c = new Peers.Client(port)) {
+                for (int i = 1; i <= 5 && !stopping.get(); i++) {
+                    c.call(i, Map.of("verb", "lookup", "txn", String.format("%08x%08x", number, round * 8 + i),
+                            "limit", "4000", "team", "acme", "cpu", "10.0", "heap_mb", "1"));
+                    try {
+                        c.frame();
+                        answered.incrementAndGet();
+                    } catch (IOException e) { // its connection ended, or nothing came
+                        lost.incrementAndGet();
+                    }
+                }
+            }
+        }
+        return null;
+    }
+}
--- a/src/test/java/quincespar/routing/ReducerTest.java
+++ b/src/test/java/quincespar/routing/ReducerTest.java
@@ -39,7 +39,7 @@
             plan.clear();
             return out;
         });
-        effects.addAll(reducer.start(now, "127.0.0.1:1", 1, List.of(fleet(1, Phase.UP, "a", "b"))));
+        effects.addAll(reducer.start(now, "127.0.0.1:1", List.of(fleet(1, Phase.UP, "a", "b"))));
     }
 
     private static FleetEvent fleet(long seq, Phase phase, String... ids) {
@@ -76,7 +76,7 @@
     }
 
     private long requestNumber() {
-        return 2; // the first question to the change log took 1
+        return 1;
     }
 
     private Outcome outcome() {
@@ -228,8 +228,10 @@
     void aSilentChangeLogIsAskedAgainAndTheListKept() {
         step(new Input.ChangesFailed(1, "status 500"));
         assertThat(of(Effect.StartTimer.class, effects)).extracting(Effect.StartTimer::key)
-                .contains(new TimerKey.PollAgain());
-        step(new Input.TimerFired(new TimerKey.PollAgain()));
+                .contains(new TimerKey.Changes(3)); // 1 was the question, 2 the wait for its answer
+        step(new Input.TimerFired(new TimerKey.Changes(2))); // it had fired when it was stopped
+        assertThat(of(Effect.Poll.class, effects)).hasSize(1);
+        step(new Input.TimerFired(new TimerKey.Changes(3)));
         assertThat(of(Effect.Poll.class, effects)).extracting(Effect.Poll::since).containsExactly(1L, 1L);
         step(new Input.HealthAsked(CALLER));
         assertThat(last(Effect.AnswerHealth.class).canServe()).isTrue();
