Count closes of clients' connections by cause, and log each from here with requests open

Each such close is logged with its cause and how many requests were open; closes for what the client did wrong, and the client's own, are only counted. Story test: a silent connection's close is counted under its cause. No change of what is closed.

--- a/src/main/java/quincespar/program/Counters.java
+++ b/src/main/java/quincespar/program/Counters.java
@@ -3,6 +3,8 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicLongArray;
 import quincespar.routing.Effect;
 import quincespar.routing.EngineNews;
@@ -20,12 +22,23 @@
         CONFIGURATIONS_REFUSED, ERRORS_UNCAUGHT
     }
 
+    /** Causes of closes are our own words and few; beyond this many they are counted together. */
+    private static final int MOST_CAUSES = 40;
+
+    private final Map<String, AtomicLong> closes = new ConcurrentHashMap<>();
     private final AtomicLongArray counts = new AtomicLongArray(Count.values().length);
 
     void count(Count c) {
         counts.incrementAndGet(c.ordinal());
     }
 
+    /** Counts the end of a client's connection under its cause, up to a colon and without numbers. */
+    void closed(String cause) {
+        String name = cause.split(":")[0].replaceAll("[0-9]+", "").strip().replaceAll(" +", "_").toLowerCase(Locale.ROOT);
+        String key = "closed." + (closes.size() < MOST_CAUSES || closes.containsKey("closed." + name) ? name : "other");
+        closes.computeIfAbsent(key, k -> new AtomicLong()).incrementAndGet();
+    }
+
     void taken(Input i) {
         if (i instanceof Input.Asked) {
             count(Count.REQUESTS_TAKEN);
@@ -82,6 +95,7 @@
         for (Count c : Count.values()) {
             out.put(c.name().toLowerCase(Locale.ROOT).replace('_', '.'), Long.toString(counts.get(c.ordinal())));
         }
+        closes.forEach((name, n) -> out.put(name, n.toString()));
         return out;
     }
 }
--- a/src/main/java/quincespar/program/ThriftFront.java
+++ b/src/main/java/quincespar/program/ThriftFront.java
@@ -171,6 +171,7 @@
             try {
                 frames.feed(bytes, count, f -> message(FrontCodec.read(f), at));
             } catch (MalformedException e) {
+                ending = true;
                 counters.count(Counters.Count.REQUESTS_UNUSABLE);
                 connection.close("malformed: " + e.getMessage());
             }
@@ -188,6 +189,10 @@
 
         @Override
         public void closed(String cause) {
+            counters.closed(cause);
+            if (!open.isEmpty() && !ending && !connection.closedByPeer()) { // each is a request lost
+                System.err.println("client " + number + ": closed with " + open.size() + " open: " + cause);
+            }
             sessions.remove(number);
             listener.resume();
             post.accept(new Input.CallerGone(number));
@@ -223,6 +228,7 @@
 
         private void call(Caller caller, Message.Call c, double at) {
             if (c.seqid() <= last) { // numbers count up: a second answer under one could pass for the first
+                ending = true;
                 counters.count(Counters.Count.REQUESTS_UNUSABLE);
                 connection.close("number " + c.seqid() + " was used before");
                 return;
--- a/src/main/java/quincespar/transport/Connection.java
+++ b/src/main/java/quincespar/transport/Connection.java
@@ -89,6 +89,7 @@
     private SelectionKey key;
     private Handler handler;
     private Phase phase = Phase.NEW;
+    private boolean gone;
     private int pending;
     private int dropped;
     private String cause = "closed here";
@@ -203,7 +204,7 @@
                 loop.execute(this::linger);
             }
         } catch (IOException e) {
-            close("write: " + e.getMessage());
+            gone("write: " + e.getMessage());
         } catch (OutOfMemoryError e) {
             close("writing: " + e.getMessage());
         }
@@ -244,6 +245,13 @@
         told.forEach(Runnable::run);
     }
 
+    private void gone(String why) {
+        synchronized (outbox) {
+            gone |= phase != Phase.CLOSED;
+            close(why);
+        }
+    }
+
     /** Closes; what is queued is dropped. */
     public void close(String why) {
         synchronized (outbox) {
@@ -284,6 +292,13 @@
         });
     }
 
+    /** Whether it is over because the peer closed or reset it, and not by a close from here. */
+    public boolean closedByPeer() {
+        synchronized (outbox) {
+            return phase == Phase.CLOSED && gone;
+        }
+    }
+
     /** Closes once all that is queued has been written, and the peer has had a moment to read it. */
     public void finish() {
         synchronized (outbox) {
@@ -368,11 +383,11 @@
         try {
             int n = channel.read(buffer);
             if (n < 0) {
-                close("closed by the peer");
+                gone("closed by the peer");
             }
             return n;
         } catch (IOException e) {
-            close("read: " + e.getMessage());
+            gone("read: " + e.getMessage());
             return -1;
         }
     }
--- a/src/test/java/quincespar/program/StoriesTest.java
+++ b/src/test/java/quincespar/program/StoriesTest.java
@@ -137,6 +137,18 @@
         }
     }
 
+    @Test
+    void closesAreCountedByTheirCause() throws Exception {
+        try (Peers.Client silent = new Peers.Client(port); Peers.Client c = new Peers.Client(port)) {
+            assertThatThrownBy(silent::frame).isInstanceOf(IOException.class); // it has said nothing for too long
+            try (Peers.Client again = new Peers.Client(port)) {
+                while (!again.counters().containsKey("closed.nothing_open")) { // counted once the socket is closed
+                    Thread.onSpinWait();
+                }
+            }
+        }
+    }
+
     @Test
     void aClientThatLeavesHasItsAttemptCancelled() throws Exception {
         String id;
