--- a/frontend/src/main/java/quincespar/membership/Membership.java
+++ b/frontend/src/main/java/quincespar/membership/Membership.java
@@ -14,7 +14,7 @@
  * from what is awaited. Times are milliseconds on one clock that never runs backwards.
  *
  * <p>Losing the change log does not stop the service: the list stays as it was last told, its age is known
- * ({@link #age}), and it is said once when that passes {@link #STALE}.
+ * ({@link #age}), and it is said once when that passes {@link Pace#staleMs}.
  */
 public final class Membership {
     /** What is to be done. */
@@ -48,15 +48,7 @@
         PAUSING
     }
 
-    /** A question is shorter than the protocol allows: one lost in silence is then noticed within the 7 s. */
-    static final long POLL = 2000;
-    /** How much later than that an answer may come. */
-    static final double POLL_SLACK = 1000;
-    /** The first pause after a failure, and the longest: what was missed counts as told 2 s after a break. */
-    static final double PAUSE = 250, LONGEST_PAUSE = 1000;
-    /** An answer at least every so often is usual; older, the list is called stale. */
-    static final double STALE = 10_000;
-
+    private final Pace pace;
     private final Members members = new Members();
     private List<Act> acts = new ArrayList<>();
     private Phase phase = Phase.NEW;
@@ -73,6 +65,11 @@
     private double answeredAt;
     private boolean toldStale;
 
+    /** Follows at this pace; nothing is asked before {@link #start}. */
+    public Membership(Pace pace) {
+        this.pace = pace;
+    }
+
     /** Begins with what is known at the start; asks at once. */
     public List<Act> start(double time, String at, List<FleetEvent> known) {
         now = time;
@@ -189,15 +186,15 @@
     private void ask() {
         phase = Phase.ASKING;
         question = ++serial;
-        acts.add(new Ask(question, address, taken, POLL));
-        await(POLL + POLL_SLACK);
+        acts.add(new Ask(question, address, taken, pace.waitMs()));
+        await(pace.waitMs() + pace.slackMs());
     }
 
     private void failed(String cause) {
         acts.add(new Say("change log: " + cause));
         acts.add(new Forget(wait));
         acts.add(new Drop());
-        if (age(now) > STALE && !toldStale) {
+        if (age(now) > pace.staleMs() && !toldStale) {
             toldStale = true;
             acts.add(new Say("the change log has not answered for " + Math.round(age(now) / 1000)
                     + " s; the list stays as it was told, with " + members.all().size() + " engines"));
@@ -207,7 +204,7 @@
 
     private void pause() {
         phase = Phase.PAUSING;
-        await(Math.min(LONGEST_PAUSE, PAUSE * (1 << Math.min(failures++, 4))));
+        await(Math.min(pace.longestPauseMs(), pace.pauseMs() * (1 << Math.min(failures++, 4))));
     }
 
     private void await(double delay) {
--- a/frontend/src/main/java/quincespar/program/Configuration.java
+++ b/frontend/src/main/java/quincespar/program/Configuration.java
@@ -6,11 +6,14 @@
 import java.nio.file.InvalidPathException;
 import java.nio.file.Path;
 import java.util.Map;
+import quincespar.membership.Pace;
 import quincespar.protocol.ChangeLogCodec;
 import quincespar.protocol.Json;
 import quincespar.protocol.MalformedException;
 import quincespar.routing.Bounds;
 import quincespar.routing.Site;
+import quincespar.settings.Keyword;
+import quincespar.settings.Settings;
 
 /** What the front end is told at its start. */
 record Configuration(String name, InetSocketAddress listen, String changeLog, long seed, int sockets,
@@ -19,8 +22,14 @@
     private static final int SOCKETS = 256;
     private static final int MEMORY_MB = 128;
 
-    Bounds bounds() {
-        return Bounds.of(sockets, memoryMb);
+    /** The bounds that fit these limits and the operators' settings. */
+    Bounds bounds(Settings s) {
+        return new Bounds(Math.max(1, (int) (sockets * s.number(Keyword.CLIENTS_SHARE) / 100)),
+                Bounds.requestsIn(memoryMb), s.number(Keyword.CLIENTS_FIRST_WORD), s.number(Keyword.CLIENTS_IDLE),
+                s.count(Keyword.LINKS_PER_ENGINE), s.count(Keyword.LINKS_SHARED), s.number(Keyword.LINKS_MIDWAY),
+                new Pace((long) s.number(Keyword.CHANGES_WAIT), s.number(Keyword.CHANGES_SLACK),
+                        s.number(Keyword.CHANGES_PAUSE), s.number(Keyword.CHANGES_LONGEST_PAUSE),
+                        s.number(Keyword.CHANGES_STALE)));
     }
 
     /** Reads the file that {@code GW_CONFIG} names; throws {@link IllegalArgumentException} in one plain line. */
--- a/frontend/src/main/java/quincespar/program/EngineLinks.java
+++ b/frontend/src/main/java/quincespar/program/EngineLinks.java
@@ -6,6 +6,8 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import quincespar.decision.Gateway.NoteKind;
 import quincespar.protocol.MalformedException;
 import quincespar.protocol.Utf8;
@@ -21,6 +23,7 @@
 
 /** The connections to engines, which speak RESP. */
 final class EngineLinks {
+    private final Logger log = LoggerFactory.getLogger(EngineLinks.class);
     private static final int OUTBOX = 4 << 20;
     private static final long OUTBOXES = 12 << 20;
     private static final int MOST_PAGES = 64;
@@ -119,7 +122,7 @@
             } catch (MalformedException e) {
                 Connection c = connections.get(link);
                 if (c != null) {
-                    System.err.println("engine link " + link + ": malformed: " + e.getMessage());
+                    log.atWarn().addKeyValue("link", link).log("an engine's message is malformed: {}", e.getMessage());
                     c.close("malformed: " + e.getMessage());
                 }
             }
--- a/frontend/src/main/java/quincespar/program/FrontEnd.java
+++ b/frontend/src/main/java/quincespar/program/FrontEnd.java
@@ -4,17 +4,23 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import quincespar.decision.Brain;
 import quincespar.program.Lifecycle.Phase;
+import quincespar.routing.Bounds;
 import quincespar.routing.Effect;
 import quincespar.routing.Input;
 import quincespar.routing.Reducer;
+import quincespar.settings.Keyword;
+import quincespar.settings.Settings;
 import quincespar.transport.EventLoop;
 import quincespar.transport.Listener;
 import quincespar.transport.Threads;
 
 /** The running front end: wires the layers, and runs the one thread that feeds the reducer. */
 final class FrontEnd {
+    private final Logger log = LoggerFactory.getLogger(FrontEnd.class);
     /** After word to stop, connections come for up to 0.4 s and requests on open ones for 0.2 s more. */
     private static final double LEAVING_MS = 800;
     private static final double FLUSH_MS = 300;
@@ -29,7 +35,10 @@
     private final Intake inputs = new Intake();
     private final Timers timers = new Timers(inputs::add);
     private final Map<String, String> environment;
+    private final Settings settings;
+    private final Logs logs;
     private final Configuration configuration;
+    private final Bounds bounds;
     private final Reducer reducer;
     private final EventLoop clientLoop = new EventLoop("clients");
     private final EventLoop engineLoop = new EventLoop("engines");
@@ -39,11 +48,14 @@
     private final ChangeLog changes;
 
     /** Reads the configuration and binds the address, so that what is wrong is told before anything runs. */
-    FrontEnd(Map<String, String> environment) throws IOException {
+    FrontEnd(Map<String, String> environment, Settings settings, Logs logs) throws IOException {
         this.environment = environment;
+        this.settings = settings;
+        this.logs = logs;
         Configuration c = Configuration.read(environment);
         configuration = c;
-        reducer = new Reducer(c.site(), c.bounds(), new Brain(c.site().module(), c.seed()));
+        bounds = c.bounds(settings);
+        reducer = new Reducer(c.site(), bounds, new Brain(c.site().module(), c.seed()));
         listener = new Listener(clientLoop, c.listen());
         front = new ThriftFront(clientLoop, c.site(), (int) (c.sockets() * CLIENT_SHARE), clock, counters,
                 inputs::addFromPeer, this::report);
@@ -53,13 +65,17 @@
 
     /** Serves until told to stop and all that was taken is answered. */
     void run() throws InterruptedException {
-        new Warmup(configuration, front).run();
+        new Warmup(configuration, bounds, front).run();
         engineLoop.start();
         perform(reducer.start(clock.now(), configuration.changeLog(), configuration.known().events()));
         front.start(listener);
         clientLoop.start();
         lifecycle.enter(Phase.SERVING);
-        System.err.println(configuration.name() + ": serving on " + configuration.listen());
+        double every = settings.number(Keyword.REPORT_EVERY);
+        if (every > 0) {
+            reportEvery((long) every);
+        }
+        log.info("{}: serving on {}", configuration.name(), configuration.listen());
         while (lifecycle.phase() != Phase.STOPPED) {
             step(inputs.take());
             if (lifecycle.phase() == Phase.FINISHING && reducer.open() == 0 && inputs.size() == 0) {
@@ -81,13 +97,13 @@
             });
         }
         lifecycle.await(Phase.STOPPED);
-        System.err.println(configuration.name() + ": stopped: " + report());
+        log.info("{}: stopped: {}", configuration.name(), report());
     }
 
     /** Writes the counters to the log every so often, from now on. */
     void reportEvery(long everyMs) {
         timers.after(everyMs, () -> {
-            System.err.println(configuration.name() + ": counters: " + report());
+            log.info("{}: counters: {}", configuration.name(), report());
             reportEvery(everyMs);
         });
     }
@@ -135,8 +151,7 @@
     }
 
     private void uncaught(String where, Throwable e) {
-        System.err.println(configuration.name() + ": " + where + ":");
-        e.printStackTrace();
+        log.error("{}: {}", configuration.name(), where, e);
         counters.count(Counters.Count.ERRORS_UNCAUGHT);
     }
 
@@ -174,7 +189,7 @@
         } else if (effect instanceof Effect.DropPoll) {
             changes.drop();
         } else if (effect instanceof Effect.Log e) {
-            System.err.println(configuration.name() + ": " + e.line());
+            log.info("{}: {}", configuration.name(), e.line());
         }
     }
 
@@ -184,6 +199,7 @@
         reducer.held().forEach((name, n) -> all.put(name, n.toString()));
         all.put("changes.age_ms", Long.toString(Math.round(reducer.listAge(clock.now()))));
         reducer.tally().forEach((name, n) -> all.put(name, n.toString()));
+        all.put("log.dropped", Long.toString(logs.dropped()));
         all.put("held.timers", Integer.toString(timers.size()));
         all.put("held.inputs", Integer.toString(inputs.size()));
         all.put("requests.open", Integer.toString(reducer.open()));
--- a/frontend/src/main/java/quincespar/program/Main.java
+++ b/frontend/src/main/java/quincespar/program/Main.java
@@ -1,11 +1,18 @@
 package quincespar.program;
 
 import java.io.IOException;
+import java.nio.charset.CharacterCodingException;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
 import java.util.concurrent.Callable;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.IVersionProvider;
 import quincespar.protocol.thrift.FrontCodec;
+import quincespar.settings.ConfException;
+import quincespar.settings.ConfReader;
+import quincespar.settings.Settings;
 import quincespar.simulator.WireException;
 import quincespar.simulator.WireHost;
 import sun.misc.Signal;
@@ -31,6 +38,10 @@
     public static int run(String... args) {
         CommandLine line = new CommandLine(new Main());
         line.setExecutionExceptionHandler((e, command, parsed) -> {
+            if (e instanceof ConfException c) { // a line each, as scripts and editors read them
+                c.problems().forEach(System.err::println);
+                return 1;
+            }
             System.err.println("quincespar: " + e.getMessage());
             return 1;
         });
@@ -58,10 +69,14 @@
     }
 
     @Command(name = "serve", description = "Serve clients, as GW_CONFIG, GW_LISTEN and GW_NAME say.")
-    int serve(@CommandLine.Option(names = "--report", paramLabel = "MS", defaultValue = "0",
-            description = "Write the counters to the log every so many milliseconds; 0, the default, is never.")
-            long reportMs) throws IOException, InterruptedException {
-        FrontEnd frontEnd = new FrontEnd(System.getenv());
+    int serve(@CommandLine.Option(names = "--conf", paramLabel = "FILE",
+            description = "The operators' own file; without it all settings are at their defaults.") Path conf,
+            @CommandLine.Option(names = "--report", paramLabel = "MS", defaultValue = "0",
+            description = "Write the counters to the log every so many milliseconds; 0, the default, is as the file"
+                    + " says.") long reportMs) throws IOException, InterruptedException, ConfException {
+        Settings settings = conf == null ? Settings.defaults() : read(conf);
+        Logs logs = Logs.start(settings);
+        FrontEnd frontEnd = new FrontEnd(System.getenv(), settings, logs);
         if (reportMs > 0) {
             frontEnd.reportEvery(reportMs);
         }
@@ -76,11 +91,39 @@
             } catch (InterruptedException e) {
                 System.err.println("quincespar: interrupted while leaving");
             }
+            logs.stop();
         }, "leave"));
         frontEnd.run();
         return 0;
     }
 
+    @Command(name = "check-conf", description = "Check an operators' file: exit code 0 where it can be used, 1 with a"
+            + " line for each thing that is wrong.")
+    int checkConf(@CommandLine.Parameters(paramLabel = "FILE") Path conf) throws IOException, ConfException {
+        read(conf);
+        System.out.println(conf + ": good");
+        return 0;
+    }
+
+    @Command(name = "conf", description = "Print all settings of the operators' file.")
+    int conf(@CommandLine.Option(names = "--defaults", required = true,
+            description = "With unit, range, default and meaning, as a file that can be used.") boolean defaults) {
+        System.out.print(Settings.template());
+        return 0;
+    }
+
+    private static Settings read(Path conf) throws IOException, ConfException {
+        try {
+            return ConfReader.read(conf.toString(), Files.readString(conf));
+        } catch (NoSuchFileException e) {
+            throw new IOException("no file " + conf, e);
+        } catch (CharacterCodingException e) {
+            throw new IOException(conf + " is no text in UTF-8", e);
+        } catch (IOException e) {
+            throw new IOException("can't read " + conf + ": " + e.getMessage(), e);
+        }
+    }
+
     @Command(name = "health", description = "Ask a running front end whether it can serve, and print its counters;"
             + " exit code 1 where it can't.")
     int health(@CommandLine.Parameters(paramLabel = "HOST:PORT") String address) throws IOException {
--- a/frontend/src/main/java/quincespar/program/ThriftFront.java
+++ b/frontend/src/main/java/quincespar/program/ThriftFront.java
@@ -10,6 +10,8 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import java.util.regex.Pattern;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import quincespar.decision.Gateway;
 import quincespar.protocol.MalformedException;
 import quincespar.protocol.StatementScan;
@@ -31,6 +33,7 @@
 
 /** The clients' protocol: Thrift in frames. One session for each connection reads it and words the replies. */
 final class ThriftFront implements Front, Listener.Taker {
+    private final Logger log = LoggerFactory.getLogger(ThriftFront.class);
     private static final Pattern TXN = Pattern.compile("[0-9a-f]{16}");
     /** Up to ten million: more milliseconds or megabytes no request has. */
     private static final Pattern FIGURE = Pattern.compile("[0-9]{1,7}(\\.[0-9]{1,9})?");
@@ -191,7 +194,8 @@
         public void closed(String cause) {
             counters.closed(cause);
             if (!open.isEmpty() && !ending && !connection.closedByPeer()) { // each is a request lost
-                System.err.println("client " + number + ": closed with " + open.size() + " open: " + cause);
+                log.atWarn().addKeyValue("connection", number).addKeyValue("open", open.size())
+                        .log("a client's connection was closed with requests open: {}", cause);
             }
             sessions.remove(number);
             listener.resume();
--- a/frontend/src/main/java/quincespar/program/Warmup.java
+++ b/frontend/src/main/java/quincespar/program/Warmup.java
@@ -12,6 +12,7 @@
 import quincespar.protocol.resp.EngineCodec;
 import quincespar.protocol.resp.RespDecoder;
 import quincespar.protocol.thrift.FrontCodec;
+import quincespar.routing.Bounds;
 import quincespar.routing.Caller;
 import quincespar.routing.Effect;
 import quincespar.routing.EngineNews;
@@ -36,19 +37,21 @@
     private record Due(double at, Input input) { }
 
     private final Configuration configuration;
+    private final Bounds bounds;
     private final ThriftFront front;
     private final Deque<Due> answers = new ArrayDeque<>();
     private final List<Due> timers = new ArrayList<>();
     private final List<Input> inputs = new ArrayList<>();
     private double now;
 
-    Warmup(Configuration configuration, ThriftFront front) {
+    Warmup(Configuration configuration, Bounds bounds, ThriftFront front) {
         this.configuration = configuration;
+        this.bounds = bounds;
         this.front = front;
     }
 
     void run() {
-        Reducer scratch = new Reducer(configuration.site(), configuration.bounds(),
+        Reducer scratch = new Reducer(configuration.site(), bounds,
                 new Brain(configuration.site().module(), configuration.seed()));
         long until = System.nanoTime() + (long) (BUDGET_MS * 1e6);
         now = System.currentTimeMillis();
--- a/frontend/src/main/java/quincespar/routing/Reducer.java
+++ b/frontend/src/main/java/quincespar/routing/Reducer.java
@@ -29,22 +29,13 @@
     /** Links are closed here well before their engines close them, so that no send meets such a close. */
     private static final double IDLE_SHARE = 0.6;
     private static final double SUSPECT = 2000;
-    /** A client that has sent no whole request by then is closed; it is owed an answer or a close within 3 s. */
-    private static final double FIRST_WORD = 2000;
-    /** Connections with nothing open go after this: some clients ask once and keep theirs for good. */
-    private static final double IDLE_CLIENT = 2500;
-    /** How long the rest of an engine's message may take: behind one that stops short nothing more comes. */
-    private static final double MIDWAY = 500;
-    private static final int MOST_LINKS = 8;
-    /** Requests that share a link while the engine may have another. */
-    private static final int SHARED = 8;
     private static final int MOST_BYTES = 48_000;
 
     private final Site site;
     private final Bounds bounds;
     private final Gateway gateway;
     private final Fleet fleet;
-    private final Membership membership = new Membership();
+    private final Membership membership;
     private final Map<Long, OpenRequest> requests = new LinkedHashMap<>();
     private final Map<Caller, OpenRequest> callers = new LinkedHashMap<>();
     /** By the client's name for it, until nothing of it is out: an engine knows it by that name only. */
@@ -67,6 +58,7 @@
         this.bounds = bounds;
         this.gateway = gateway;
         fleet = new Fleet(site);
+        membership = new Membership(bounds.changes());
     }
 
     /** The first step: the events of the start, and the first question to the change log. */
@@ -174,7 +166,7 @@
             callerUp(x.connection());
         } else if (i instanceof Input.Midway x && links.containsKey(x.link())) {
             if (x.unfinished()) {
-                startTimer(new TimerKey.Midway(x.link()), MIDWAY);
+                startTimer(new TimerKey.Midway(x.link()), bounds.midwayMs());
             } else {
                 effects.add(new Effect.StopTimer(new TimerKey.Midway(x.link())));
             }
@@ -199,7 +191,7 @@
 
     private void callerUp(long connection) {
         fronts.up(connection);
-        startTimer(new TimerKey.Front(connection), FIRST_WORD);
+        startTimer(new TimerKey.Front(connection), bounds.firstWordMs());
         if (fronts.size() > bounds.callers()) {
             long spare = fronts.spare(connection);
             closeCaller(spare, spare == connection ? "too many connections" : "its place is needed");
@@ -262,7 +254,7 @@
         r.over = true;
         callers.remove(r.caller);
         if (fronts.closed(r)) {
-            startTimer(new TimerKey.Front(r.caller.connection()), IDLE_CLIENT);
+            startTimer(new TimerKey.Front(r.caller.connection()), bounds.idleClientMs());
         }
         effects.add(new Effect.StopTimer(new TimerKey.Request(r.id)));
         forget(r);
@@ -511,7 +503,8 @@
                 best = l;
             }
         }
-        if ((best == null || shared(best) >= (alone ? 1 : SHARED)) && e.links.size() < MOST_LINKS) {
+        if ((best == null || shared(best) >= (alone ? 1 : bounds.sharedPerLink()))
+                && e.links.size() < bounds.linksPerEngine()) {
             best = new Link(++serial, e, now);
             e.links.add(best);
             links.put(best.id, best);
@@ -528,7 +521,7 @@
     /** How much is lost if the link ends; one that carries what may not run twice is full. */
     private int shared(Link l) {
         boolean dear = l.open.values().stream().anyMatch(a -> unsafe(a.request));
-        return l.open.size() + (dear ? SHARED : 0);
+        return l.open.size() + (dear ? bounds.sharedPerLink() : 0);
     }
 
     private void linkUp(Link l) {
--- /dev/null
+++ b/frontend/src/main/java/quincespar/settings/Keyword.java
@@ -0,0 +1,121 @@
+package quincespar.settings;
+
+import java.util.Arrays;
+import java.util.List;
+
+/** All that can be set, in the order in which it is printed: one line each, with unit, range, default and meaning. */
+public enum Keyword {
+    /** How log lines are written. */
+    LOG_FORMAT("log", "format", Type.CHOICE, "text", "text|json", "Log lines as text, or as one JSON object each."),
+    /** The least level that is logged. */
+    LOG_LEVEL("log", "level", Type.CHOICE, "info", "error|warn|info|debug", "The least level that is logged."),
+    /** Log lines that wait for the writer. */
+    LOG_QUEUE("log", "queue", Type.COUNT, "1024", 16, 65_536,
+            "Log lines that may wait to be written; more are dropped and counted, as no log call waits."),
+    /** How often counters go to the log. */
+    REPORT_EVERY("report", "every", Type.TIME, "0ms", 0, 86_400_000,
+            "How often the counters go to the log; 0 is never."),
+    /** Time for the first whole request. */
+    CLIENTS_FIRST_WORD("clients", "first-word", Type.TIME, "2s", 100, 3_600_000,
+            "A client that has sent no whole request by then is closed."),
+    /** Time with nothing open. */
+    CLIENTS_IDLE("clients", "idle", Type.TIME, "2500ms", 100, 86_400_000,
+            "A client's connection with nothing open for so long is closed."),
+    /** Clients' part of the descriptors. */
+    CLIENTS_SHARE("clients", "share", Type.PERCENT, "38%", 1, 45,
+            "The clients' part of the descriptors; one more than that, and one that is idle makes room."),
+    /** Links to one engine. */
+    LINKS_PER_ENGINE("links", "per-engine", Type.COUNT, "8", 1, 1000, "Connections to one engine at the most."),
+    /** Requests that share a link. */
+    LINKS_SHARED("links", "shared", Type.COUNT, "8", 1, 1000,
+            "Requests that share a connection while the engine may have another: a spoilt answer takes them all."),
+    /** Time for the rest of a message. */
+    LINKS_MIDWAY("links", "midway", Type.TIME, "500ms", 10, 60_000,
+            "An engine's message that has begun and is not whole by then ends its connection."),
+    /** How long a question may wait. */
+    CHANGES_WAIT("change-log", "wait", Type.TIME, "2s", 100, 5000,
+            "How long the change log may hold back its answer while there is no news."),
+    /** How much later an answer may come. */
+    CHANGES_SLACK("change-log", "slack", Type.TIME, "1s", 100, 10_000,
+            "How much later than that an answer may come before the question counts as lost."),
+    /** The first pause. */
+    CHANGES_PAUSE("change-log", "pause", Type.TIME, "250ms", 10, 10_000, "The pause after a first failure; it doubles."),
+    /** The longest pause. */
+    CHANGES_LONGEST_PAUSE("change-log", "longest-pause", Type.TIME, "1s", 10, 60_000, "The longest such pause."),
+    /** When a list is stale. */
+    CHANGES_STALE("change-log", "stale-after", Type.TIME, "10s", 1000, 3_600_000,
+            "With no whole answer for so long the list is logged as stale; it stays in use.");
+
+    /** What a value is, and how it is written. */
+    public enum Type {
+        /** A whole number. */
+        COUNT("a whole number"),
+        /** Milliseconds, written with ms, s, m or h. */
+        TIME("a time as 250ms, 2s, 5m or 1h"),
+        /** A percentage. */
+        PERCENT("a percentage as 38%"),
+        /** One of some words. */
+        CHOICE("one of");
+
+        final String wording;
+
+        Type(String wording) {
+            this.wording = wording;
+        }
+    }
+
+    final String block;
+    final String word;
+    final Type type;
+    final String absent;
+    final double least;
+    final double most;
+    final List<String> choices;
+    final String meaning;
+
+    Keyword(String block, String word, Type type, String absent, String choices, String meaning) {
+        this(block, word, type, absent, 0, 0, List.of(choices.split("\\|")), meaning);
+    }
+
+    Keyword(String block, String word, Type type, String absent, double least, double most, String meaning) {
+        this(block, word, type, absent, least, most, List.of(), meaning);
+    }
+
+    Keyword(String block, String word, Type type, String absent, double least, double most, List<String> choices,
+            String meaning) {
+        this.block = block;
+        this.word = word;
+        this.type = type;
+        this.absent = absent;
+        this.least = least;
+        this.most = most;
+        this.choices = choices;
+        this.meaning = meaning;
+    }
+
+    static List<String> blocks() {
+        return Arrays.stream(values()).map(k -> k.block).distinct().toList();
+    }
+
+    static List<Keyword> in(String block) {
+        return Arrays.stream(values()).filter(k -> k.block.equals(block)).toList();
+    }
+
+    /** What a value must look like, in words. */
+    String expected() {
+        return type == Type.CHOICE ? type.wording + " " + String.join(", ", choices) : type.wording;
+    }
+
+    /** The range in the setting's own unit, in words. */
+    String range() {
+        return write(least) + " to " + write(most);
+    }
+
+    private String write(double n) {
+        return switch (type) {
+            case TIME -> Quantity.time(n);
+            case PERCENT -> Math.round(n) + "%";
+            default -> Long.toString(Math.round(n));
+        };
+    }
+}
--- /dev/null
+++ b/frontend/src/main/java/quincespar/settings/Settings.java
@@ -0,0 +1,49 @@
+package quincespar.settings;
+
+import java.util.EnumMap;
+import java.util.Map;
+
+/** What is set, each by the file or by its default. */
+public final class Settings {
+    private final Map<Keyword, String> texts;
+
+    Settings(Map<Keyword, String> texts) {
+        this.texts = new EnumMap<>(Keyword.class);
+        this.texts.putAll(texts);
+    }
+
+    /** All by default, as where there is no file. */
+    public static Settings defaults() {
+        return new Settings(Map.of());
+    }
+
+    /** A quantity in its base unit: milliseconds, per cent, one. */
+    public double number(Keyword k) {
+        return Quantity.read(k.type, word(k));
+    }
+
+    /** A count. */
+    public int count(Keyword k) {
+        return (int) number(k);
+    }
+
+    /** A word, as written. */
+    public String word(Keyword k) {
+        return texts.getOrDefault(k, k.absent);
+    }
+
+    /** A file that sets everything to its default, each line with its meaning: a template, and the reference. */
+    public static String template() {
+        StringBuilder out = new StringBuilder();
+        for (String block : Keyword.blocks()) {
+            out.append(out.length() == 0 ? "" : "\n").append(block).append(" {\n");
+            for (Keyword k : Keyword.in(block)) {
+                out.append("    # ").append(k.meaning).append(" Takes ").append(k.expected());
+                out.append(k.type == Keyword.Type.CHOICE ? "" : ", " + k.range()).append(".\n");
+                out.append("    ").append(k.word).append(' ').append(k.absent).append('\n');
+            }
+            out.append("}\n");
+        }
+        return out.toString();
+    }
+}
--- a/frontend/src/main/java/quincespar/transport/Connection.java
+++ b/frontend/src/main/java/quincespar/transport/Connection.java
@@ -10,6 +10,8 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * One TCP connection on an {@link EventLoop}, with a bounded outbox, so that a peer that does not read holds up
@@ -18,6 +20,7 @@
  * thread that wrote.
  */
 public final class Connection {
+    private final Logger log = LoggerFactory.getLogger(Connection.class);
     /** What the owner is told. */
     public interface Handler {
         /** A connection that was dialled is up. */
@@ -322,7 +325,7 @@
                 channel.close();
             }
         } catch (IOException e) {
-            System.err.println(name + ": closing: " + e.getMessage());
+            log.atWarn().addKeyValue("connection", name).log("closing: {}", e.getMessage());
         }
         if (handler != null) {
             handler.closed(cause);
--- a/frontend/src/main/java/quincespar/transport/EventLoop.java
+++ b/frontend/src/main/java/quincespar/transport/EventLoop.java
@@ -13,6 +13,8 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * One thread that waits for many sockets at once and handles whichever is ready, so that a connection which says
@@ -20,6 +22,7 @@
  * nothing: with a thread each, starting and ending those threads used up the front end's part of the core.
  */
 public final class EventLoop {
+    private final Logger log = LoggerFactory.getLogger(EventLoop.class);
     /** What is told when its channel is ready, on the loop's thread. */
     interface Ready {
         /** The channel of this key can be read, written, connected or accepted from. */
@@ -109,10 +112,10 @@
                     selector.select(this::ready, wait);
                 }
             } catch (IOException | ClosedSelectorException e) {
-                System.err.println(name + ": " + e); // the system's selector is gone: nothing can be served
+                log.error("loop {}: the system gives no selector, nothing can be served", name, e);
                 ended = true;
             } catch (RuntimeException | OutOfMemoryError e) {
-                System.err.println(name + ": " + e);
+                log.error("loop {}", name, e);
             }
         }
     }
@@ -147,7 +150,7 @@
             r.failed(e);
         } catch (RuntimeException | OutOfMemoryError | StackOverflowError e) {
             // what a peer sends must end its own connection at most
-            System.err.println(name + ": " + e);
+            log.error("loop {}", name, e);
             r.failed(e);
         }
     }
--- a/frontend/src/main/java/quincespar/transport/Listener.java
+++ b/frontend/src/main/java/quincespar/transport/Listener.java
@@ -6,9 +6,12 @@
 import java.nio.channels.SelectionKey;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Accepts connections on one address, on an {@link EventLoop}, until it is closed. */
 public final class Listener {
+    private final Logger log = LoggerFactory.getLogger(Listener.class);
     /** Takes what is accepted, on the loop's thread. */
     public interface Taker {
         /** Whether there is a place for one more; else new ones wait in the system's queue until {@link #resume}. */
@@ -60,7 +63,7 @@
             try {
                 key = loop.register(channel, SelectionKey.OP_ACCEPT, ready);
             } catch (IOException e) {
-                System.err.println("listener: " + e.getMessage());
+                log.warn("listener: {}", e.getMessage());
             }
         });
     }
@@ -96,7 +99,7 @@
             taker.take(c);
             return true;
         } catch (IOException e) { // out of descriptors, or a client gone before it was accepted
-            System.err.println("listener: " + e.getMessage());
+            log.warn("listener: {}", e.getMessage());
             pause();
             return false;
         }
@@ -122,7 +125,7 @@
                 }
                 channel.close();
             } catch (IOException e) {
-                System.err.println("listener: closing: " + e.getMessage());
+                log.warn("listener: closing: {}", e.getMessage());
             }
             closed.run();
         });
--- a/frontend/src/test/java/quincespar/membership/MembershipModelTest.java
+++ b/frontend/src/test/java/quincespar/membership/MembershipModelTest.java
@@ -27,6 +27,7 @@
 class MembershipModelTest {
     /** What the change log has to tell counts as told no later than this afterwards. */
     private static final double TOLD = 7000;
+    private static final Pace PACE = new Pace(2000, 1000, 250, 1000, 10_000);
 
     /** What may happen; the number beside it in a step chooses which engine, question or timer. */
     private enum Op {
@@ -46,7 +47,7 @@
         final Map<Long, Double> timers = new TreeMap<>();
         final List<Long> stopped = new ArrayList<>();
         final Set<Long> learned = new HashSet<>();
-        Membership membership = new Membership();
+        Membership membership = new Membership(PACE);
         String address = "a:1";
         double now = 5000;
         long seq;
@@ -163,7 +164,7 @@
         /** The program starts anew, with what the configuration's file knew: perhaps not the latest. */
         void restart(int pick) {
             List<FleetEvent> known = history.subList(0, 1 + pick % history.size());
-            membership = new Membership();
+            membership = new Membership(PACE);
             open.clear();
             old.clear();
             timers.clear();
--- /dev/null
+++ b/frontend/src/test/java/quincespar/program/LogsTest.java
@@ -0,0 +1,92 @@
+package quincespar.program;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import quincespar.settings.ConfException;
+import quincespar.settings.ConfReader;
+import quincespar.settings.Settings;
+
+@Timeout(60)
+class LogsTest {
+    private final PrintStream before = System.err;
+    private final ByteArrayOutputStream written = new ByteArrayOutputStream();
+    private final Logger log = LoggerFactory.getLogger(LogsTest.class);
+
+    @AfterEach
+    void restore() {
+        System.setErr(before);
+        Logs.start(Settings.defaults());
+    }
+
+    private String lines(String conf, Runnable body) throws ConfException {
+        System.setErr(new PrintStream(written, true, StandardCharsets.UTF_8));
+        Logs logs = Logs.start(ConfReader.read("f", conf));
+        body.run();
+        logs.stop();
+        return written.toString(StandardCharsets.UTF_8);
+    }
+
+    @Test
+    void linesAreTextWithTheirFieldsOrOneJsonObjectEach() throws ConfException {
+        Runnable body = () -> {
+            log.atInfo().addKeyValue("engine", "s-1").log("a link is {}", "up");
+            log.debug("not asked for");
+        };
+        assertThat(lines("", body)).matches("(?s)[0-9:.]{12} INFO  a link is up engine=\"s-1\"\n");
+        written.reset();
+        String json = lines("log {\n format json\n level debug\n}\n", body);
+        assertThat(json.lines()).hasSize(2).allMatch(l -> l.startsWith("{") && l.endsWith("}"));
+        assertThat(json).contains("\"a link is up\"", "{\"engine\":\"s-1\"}", "\"DEBUG\"");
+    }
+
+    /** Whoever reads standard error may stop: no log call waits for that, and what is dropped is counted. */
+    @Test
+    void aReaderOfTheLogThatStopsHoldsUpNobody() throws Exception {
+        CountDownLatch reads = new CountDownLatch(1);
+        System.setErr(new PrintStream(new OutputStream() {
+            @Override
+            public void write(int b) {
+                boolean interrupted = false;
+                while (reads.getCount() > 0) { // as a pipe that is full: an interrupt does not end the write
+                    try {
+                        reads.await();
+                    } catch (InterruptedException e) {
+                        interrupted = true;
+                    }
+                }
+                if (interrupted) {
+                    Thread.currentThread().interrupt();
+                }
+                written.write(b);
+            }
+        }, true, StandardCharsets.UTF_8));
+        Logs logs = Logs.start(ConfReader.read("f", "log {\n queue 16\n}\n"));
+        for (int i = 0; i < 100; i++) {
+            log.info("line {}", i);
+        }
+        assertThat(logs.dropped()).isPositive();
+        reads.countDown();
+        logs.stop();
+        String lines = written.toString(StandardCharsets.UTF_8);
+        assertThat(lines).contains("line 0\n").doesNotContain("line 99\n");
+        assertThat(lines.lines().count() + logs.dropped()).isEqualTo(100);
+    }
+
+    @Test
+    void anErrorIsLoggedWithItsTrace() throws ConfException {
+        assertThat(lines("", () -> log.error("in the reducer", new UncheckedIOException(new IOException("disk")))))
+                .contains("in the reducer", "UncheckedIOException", "LogsTest");
+    }
+}
--- a/frontend/src/test/java/quincespar/program/RestartTest.java
+++ b/frontend/src/test/java/quincespar/program/RestartTest.java
@@ -21,6 +21,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import quincespar.settings.Settings;
 
 /**
  * A planned restart amid a crowd that connects and says nothing, as in the recorded incident: every request of the
@@ -52,7 +53,8 @@
              "projects":[{"name":"acme","quotaPerS":500,"share":1}],"requestClasses":[
              {"name":"lookup","slo":2000,"hardLimit":4000,"effect":"safe","points":1}]}}
             """.formatted(port, changes.server.getLocalPort(), engine.server.getLocalPort()));
-        FrontEnd frontEnd = new FrontEnd(Map.of("GW_CONFIG", file.toString()));
+        FrontEnd frontEnd = new FrontEnd(Map.of("GW_CONFIG", file.toString()), Settings.defaults(),
+                Logs.start(Settings.defaults()));
         ExecutorService pool = Executors.newCachedThreadPool(r -> {
             Thread t = new Thread(r);
             t.setDaemon(true);
--- a/frontend/src/test/java/quincespar/program/StoriesTest.java
+++ b/frontend/src/test/java/quincespar/program/StoriesTest.java
@@ -18,6 +18,7 @@
 import org.junit.jupiter.api.TestInstance;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import quincespar.settings.Settings;
 
 /** The whole program over loopback against scripted peers, one story for each failure met. */
 @TestInstance(TestInstance.Lifecycle.PER_CLASS)
@@ -52,7 +53,8 @@
              {"name":"lookup","slo":2000,"hardLimit":4000,"effect":"safe","points":1},
              {"name":"load","slo":2000,"hardLimit":4000,"effect":"unsafe","points":1}]}}
             """.formatted(port, changes.server.getLocalPort(), engine.server.getLocalPort()));
-        frontEnd = new FrontEnd(Map.of("GW_CONFIG", file.toString()));
+        frontEnd = new FrontEnd(Map.of("GW_CONFIG", file.toString()), Settings.defaults(),
+                Logs.start(Settings.defaults()));
         running = new Thread(() -> {
             try {
                 frontEnd.run();
--- a/frontend/src/test/java/quincespar/routing/ReducerTest.java
+++ b/frontend/src/test/java/quincespar/routing/ReducerTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.Test;
 import quincespar.decision.Gateway;
 import quincespar.decision.Gateway.Outcome;
+import quincespar.membership.Pace;
 import quincespar.protocol.FleetEvent;
 import quincespar.protocol.FleetEvent.Phase;
 
@@ -32,7 +33,7 @@
             pairs.putAll(Map.of("requestClasses." + c + ".slo", "800", "requestClasses." + c + ".hardLimit", "4000",
                     "requestClasses." + c + ".effect", c == 0 ? "safe" : "unsafe"));
         }
-        reducer = new Reducer(Site.of(pairs), new Bounds(3, 5), (time, events) -> {
+        reducer = new Reducer(Site.of(pairs), new Bounds(3, 5, 2000, 2500, 8, 8, 500, new Pace(2000, 1000, 250, 1000, 10_000)), (time, events) -> {
             decisions++;
             told.addAll(events);
             List<Gateway.Action> out = List.copyOf(plan);
--- /dev/null
+++ b/frontend/src/test/java/quincespar/settings/ConfReaderTest.java
@@ -0,0 +1,123 @@
+package quincespar.settings;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.catchThrowableOfType;
+
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.CharRange;
+import net.jqwik.api.constraints.Chars;
+import net.jqwik.api.constraints.StringLength;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class ConfReaderTest {
+    private static List<String> problems(String text) {
+        return catchThrowableOfType(() -> ConfReader.read("f", text), ConfException.class).problems();
+    }
+
+    @Test
+    void theTemplateSetsEverythingToItsDefault() throws ConfException {
+        Settings read = ConfReader.read("f", Settings.template());
+        for (Keyword k : Keyword.values()) {
+            assertThat(read.word(k)).isEqualTo(Settings.defaults().word(k)).isEqualTo(k.absent);
+        }
+        for (Keyword k : Keyword.values()) {
+            assertThat(Settings.template()).contains("    " + k.word + " " + k.absent + "\n", k.meaning);
+        }
+    }
+
+    @Test
+    void everyDefaultLiesInItsRange() {
+        for (Keyword k : Keyword.values()) {
+            if (k.type == Keyword.Type.CHOICE) {
+                assertThat(k.choices).contains(k.absent);
+            } else {
+                assertThat(Quantity.read(k.type, k.absent)).as(k.word).isBetween(k.least, k.most);
+            }
+        }
+    }
+
+    @Test
+    void commentsBlankLinesQuotesAndEitherEndOfLineAreTaken() throws ConfException {
+        Settings s = ConfReader.read("f", "# all\r\n\r\nlog { # block\r\n\tformat \"json\" # words\r\n}\r\nlinks {\n}\n");
+        assertThat(s.word(Keyword.LOG_FORMAT)).isEqualTo("json");
+        assertThat(s.number(Keyword.CLIENTS_IDLE)).isEqualTo(2500);
+    }
+
+    @Test
+    void aLastLineNeedsNoEnd() throws ConfException {
+        assertThat(ConfReader.read("f", "log {\n  level debug\n}").word(Keyword.LOG_LEVEL)).isEqualTo("debug");
+        assertThat(ConfReader.read("f", "").word(Keyword.LOG_LEVEL)).isEqualTo("info");
+    }
+
+    @ParameterizedTest
+    @CsvSource({"250ms, 250", "2s, 2000", "1.5s, 1500", "5m, 300000", "1h, 3600000"})
+    void timesHaveUnits(String text, double ms) throws ConfException {
+        assertThat(ConfReader.read("f", "clients {\n idle " + text + "\n}").number(Keyword.CLIENTS_IDLE)).isEqualTo(ms);
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "idle 99ms|f:2:7: 'idle' is 99ms; it must lie in 100ms to 24h",
+        "idle 2|f:2:7: 'idle' takes a time as 250ms, 2s, 5m or 1h, not '2'",
+        "share 50%|f:2:8: 'share' is 50%; it must lie in 1% to 45%",
+        "share 0.5|f:2:8: 'share' takes a percentage as 38%, not '0.5'",
+        "shared 8|f:2:2: unknown keyword 'shared' in block 'clients'; did you mean 'share'?",
+        "idle 2 s|f:2:9: 'idle' takes one value, a time as 250ms, 2s, 5m or 1h; 2 are given",
+        "idle|f:2:2: 'idle' takes one value, a time as 250ms, 2s, 5m or 1h; 0 are given",
+        "zebracrossing 1|f:2:2: unknown keyword 'zebracrossing' in block 'clients'; known are first-word, idle, share"})
+    void whatIsWrongIsSaidWithItsPlace(String line, String wanted) {
+        assertThat(problems("clients {\n " + line + "\n}\n")).containsExactly(wanted);
+    }
+
+    @Test
+    void allThatIsWrongIsSaidAtOnceInTheOrderOfTheFile() {
+        assertThat(problems("""
+            log {
+              formt json
+              level loud
+              queue 5
+            }
+            lgo {
+            }
+            clients {
+              idle 3s
+              idle 3s
+            }
+            clients {
+            }
+            idle 3s
+            """)).containsExactly(
+                "f:2:3: unknown keyword 'formt' in block 'log'; did you mean 'format'?",
+                "f:3:9: 'level' takes one of error, warn, info, debug, not 'loud'; known are error, warn, info, debug",
+                "f:4:9: 'queue' is 5; it must lie in 16 to 65536",
+                "f:6:1: unknown block 'lgo'; did you mean 'log'?",
+                "f:10:3: 'idle' is set in line 9 already",
+                "f:12:1: block 'clients' stands in line 8 already",
+                "f:14:1: 'idle' stands outside its block, 'clients'");
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {"log {~ level info~|f:3:1: the file ends inside a block; '}' is missing",
+        "}~|f:1:1: '}' without a block that is open", "log~|f:1:1: 'log' is a block: 'log {', its settings, '}'",
+        "log {~ log {~ }~}~|f:2:2: a block within block 'log'"})
+    void blocksAreWholeAndNotNested(String text, String wanted) {
+        assertThat(problems(text.replace('~', '\n'))).contains(wanted);
+    }
+
+    /** Whatever the text, it is taken or refused with places; nothing else is thrown. */
+    @Property(tries = 2000)
+    void anyTextIsTakenOrRefused(@ForAll @StringLength(max = 60) @Chars({'l', 'o', 'g', ' ', '\n', '{', '}', '"', '#', '\\',
+        '5', 's', '%', '\t', '\r'}) @CharRange(from = ' ', to = '~') String text) {
+        for (String body : List.of(text, "log {\n" + text + "\n}\n", "log {\n level " + text)) {
+            try {
+                assertThat(ConfReader.read("f", body)).isNotNull();
+            } catch (ConfException e) {
+                assertThat(e.problems()).isNotEmpty().allMatch(p -> p.matches("(?s)f:[0-9]+:[0-9]+: .+"));
+            }
+        }
+    }
+}
