Report counters at one interval, give the client front its listener from the start

ThriftFront knew its listener only once it served, so that SIGTERM during the warm-up met none; it is a final field now. Two comments told of what was before.

--- a/decision/src/main/java/quincespar/decision/Brain.java
+++ b/decision/src/main/java/quincespar/decision/Brain.java
@@ -468,7 +468,7 @@
         return usual + (n.told - usual) * keep + since / cores(n.engine);
     }
 
-    /** The oldest query of a type that may go to this engine; only rules make it look past the head. */
+    /** The oldest query of a type that may go here; only rules and held tables make it look past the head. */
     private Query first(Type t, Node n) {
         for (Query q : t.queue) {
             if (legal(q, n) && !wouldStandStill(q, n)) {
--- a/frontend/src/main/java/quincespar/program/FrontEnd.java
+++ b/frontend/src/main/java/quincespar/program/FrontEnd.java
@@ -12,7 +12,6 @@
 import quincespar.routing.Effect;
 import quincespar.routing.Input;
 import quincespar.routing.Reducer;
-import quincespar.settings.Keyword;
 import quincespar.settings.Settings;
 import quincespar.transport.EventLoop;
 import quincespar.transport.Listener;
@@ -35,7 +34,6 @@
     private final Intake inputs = new Intake();
     private final Timers timers = new Timers(inputs::add);
     private final Map<String, String> environment;
-    private final Settings settings;
     private final Logs logs;
     private final Configuration configuration;
     private final Bounds bounds;
@@ -50,14 +48,13 @@
     /** Reads the configuration and binds the address, so that what is wrong is told before anything runs. */
     FrontEnd(Map<String, String> environment, Settings settings, Logs logs) throws IOException {
         this.environment = environment;
-        this.settings = settings;
         this.logs = logs;
         Configuration c = Configuration.read(environment);
         configuration = c;
         bounds = c.bounds(settings);
         reducer = new Reducer(c.site(), bounds, new Brain(c.site().module(), c.seed()));
         listener = new Listener(clientLoop, c.listen());
-        front = new ThriftFront(clientLoop, c.site(), (int) (c.sockets() * CLIENT_SHARE), clock, counters,
+        front = new ThriftFront(clientLoop, listener, c.site(), (int) (c.sockets() * CLIENT_SHARE), clock, counters,
                 inputs::addFromPeer, this::report);
         engines = new EngineLinks(engineLoop, c.site().module().fleet().reportFields(), inputs::addFromPeer);
         changes = new ChangeLog(engineLoop, inputs::addFromPeer);
@@ -68,13 +65,9 @@
         new Warmup(configuration, bounds, front).run();
         engineLoop.start();
         perform(reducer.start(clock.now(), configuration.changeLog(), configuration.known().events()));
-        front.start(listener);
+        front.start();
         clientLoop.start();
         lifecycle.enter(Phase.SERVING);
-        double every = settings.number(Keyword.REPORT_EVERY);
-        if (every > 0) {
-            reportEvery((long) every);
-        }
         log.info("{}: serving on {}", configuration.name(), configuration.listen());
         while (lifecycle.phase() != Phase.STOPPED) {
             step(inputs.take());
--- a/frontend/src/main/java/quincespar/program/Main.java
+++ b/frontend/src/main/java/quincespar/program/Main.java
@@ -12,6 +12,7 @@
 import quincespar.protocol.thrift.FrontCodec;
 import quincespar.settings.ConfException;
 import quincespar.settings.ConfReader;
+import quincespar.settings.Keyword;
 import quincespar.settings.Settings;
 import quincespar.simulator.WireException;
 import quincespar.simulator.WireHost;
@@ -77,8 +78,9 @@
         Settings settings = conf == null ? Settings.defaults() : read(conf);
         Logs logs = Logs.start(settings);
         FrontEnd frontEnd = new FrontEnd(System.getenv(), settings, logs);
-        if (reportMs > 0) {
-            frontEnd.reportEvery(reportMs);
+        long every = reportMs > 0 ? reportMs : (long) settings.number(Keyword.REPORT_EVERY);
+        if (every > 0) {
+            frontEnd.reportEvery(every);
         }
         // left alone, it would end the program; where the parent had it ignored, the JVM leaves it so
         if (Signal.handle(new Signal("HUP"), s -> frontEnd.hangup()) == SignalHandler.SIG_IGN) {
--- a/frontend/src/main/java/quincespar/program/ThriftFront.java
+++ b/frontend/src/main/java/quincespar/program/ThriftFront.java
@@ -55,12 +55,13 @@
     private final Consumer<Input> post;
     private final Supplier<Map<String, String>> report;
     private final EventLoop loop;
-    private volatile Listener listener;
+    private final Listener listener;
     private volatile int places;
 
-    ThriftFront(EventLoop loop, Site site, int mostConnections, Clock clock, Counters counters,
+    ThriftFront(EventLoop loop, Listener listener, Site site, int mostConnections, Clock clock, Counters counters,
             Consumer<Input> post, Supplier<Map<String, String>> report) {
         this.loop = loop;
+        this.listener = listener;
         List<Gateway.ClassSpec> specs = site.module().classes();
         longest = new double[specs.size()];
         for (int i = 0; i < specs.size(); i++) {
@@ -77,9 +78,8 @@
         this.report = report;
     }
 
-    void start(Listener from) {
-        listener = from;
-        from.start(this);
+    void start() {
+        listener.start(this);
     }
 
     /**
--- a/frontend/src/main/java/quincespar/routing/Reducer.java
+++ b/frontend/src/main/java/quincespar/routing/Reducer.java
@@ -162,7 +162,7 @@
             gone(x.connection());
         } else if (i instanceof Input.CallerUp x) {
             callerUp(x.connection());
-        } else if (i instanceof Input.CallerStays x) {
+        } else if (i instanceof Input.CallerStays x) { // taken anew: it has its time for a first word again
             callerUp(x.connection());
         } else if (i instanceof Input.Midway x && links.containsKey(x.link())) {
             if (x.unfinished()) {
