Give cold engines hosts and let the pooled bound go with the cores that work

A trace of the bound each half second showed further: it grew by each new engine and never lost what left; its widening of 0.1 where no cost is told was 0.08 threads a second, so loads waited up to 18 s while classes stretched by 1.0; and reports counted loads by a quarter, so that loads, which see the full bound, came last. An engine of 16 cores had a bound of 1.1 threads of its own, one of 12 a part of the pool.

Change: each cold engine has as many hosts as can send it a heaviest query each, by number and id. Parts below the widest query are pooled. The pooled bound is scaled with the cores that are ready, not shunned, and as far as they are warm. A pool of 12 threads or more counts its classes alike and begins at 1.5 threads a core; widening without told cost goes by 1.0.

--- a/decision/src/main/java/quincespar/decision/Brain.java
+++ b/decision/src/main/java/quincespar/decision/Brain.java
@@ -22,7 +22,7 @@
     private static final double HEAVY = 4;
     /** The bound widens while latency is under this multiple of the best seen and is cut above the other. */
     private static final double NEAR = 1.25, GROWN = 1.6, POOL_GAIN = 0.5, POOL_CUT = 0.06,
-            UNTOLD_GAIN = 0.1; // where no cost is told, a stretch is half noise: grow with care
+            UNTOLD_GAIN = 1;
     /** Share of the cold allowance that is used: engines differ by some tenths and works are estimates. */
     private static final double COLD_MARGIN = 0.7;
     /** Routers that may send to a cold engine in one turn: few, so that each may send a query or more. */
@@ -51,6 +51,8 @@
     private static final double LOWER = 0.25;
     /** The same under an engine's own bound, against the class of the largest γμ: a half fills no engine. */
     private static final double LOWER_OWN = 0.5;
+    /** Few queries do not fill a pooled bound of so many threads; threads a core that it has at first. */
+    private static final double BROAD = 12, KNEE = 1.5;
     /** Engines that a router watches. */
     private static final double WATCHED = 10;
     /** Share of service that words may cost at most; bytes charged for both words of an attempt. */
@@ -77,7 +79,7 @@
     private final Mean untold = new Mean(MEMORY / 2);
     private Bound pool;
     private List<Action> out;
-    private double now, watchAt, watchWait, tidyAt, timerAt, wordsAt, fleet, warm, startedAt = -1;
+    private double reach, now, watchAt, watchWait, tidyAt, timerAt, wordsAt, fleet, warm, startedAt = -1;
     private long sequence;
     private int open, said;
     private boolean watching, allPooled, stalled, grouped;
@@ -284,17 +286,14 @@
      * says nothing of one engine (room for one query each would be room for all), so parts are pooled.
      */
     private Bound bound(Engine e) {
-        double part = cores(e) / set.routers();
-        if (part >= 1) {
-            return new Bound(set.classes().size(), MEMORY / 4, part);
+        double part = cores(e) / set.routers(), widest = 1;
+        for (Kind k : kinds) { // a bound that one wide query fills holds all behind it
+            widest = Math.max(widest, k.spec.threads());
         }
-        if (pool == null) {
-            pool = new Bound(set.classes().size(), MEMORY / 2, 0);
-            for (Kind k : kinds) { // a bound that one wide query fills holds all behind it
-                pool.width = Math.max(pool.width, k.spec.threads());
-            }
+        if (part >= widest) {
+            return new Bound(set.classes().size(), MEMORY / 4, part);
         }
-        pool.width += part;
+        pool = pool != null ? pool : new Bound(set.classes().size(), MEMORY / 2, widest);
         return pool;
     }
 
@@ -320,7 +319,7 @@
     private boolean room(Bound b, Kind k) {
         double taken = b.threads, spare = b == pool && spoken() ? BORROW * (b.width - fleet) : 0;
         boolean leads = leads(kinds[k.cls * 2]);
-        double lower = b == pool ? LOWER : leads ? LOWER_OWN : 1;
+        double lower = b == pool && b.width < BROAD ? LOWER : leads ? LOWER_OWN : 1;
         for (int c = 0; lower < 1 && c < kinds.length; c += 2) {
             taken -= value(kinds[c]) < value(kinds[k.cls * 2]) ? (1 - lower) * b.out[c / 2] : 0;
         }
@@ -380,8 +379,25 @@
     }
 
     private double reach(Node n) {
-        return n.bound == pool ? nodes.values().stream().mapToDouble(x -> cores(x.engine)).sum()
-                : cores(n.engine);
+        return n.bound == pool ? reach : cores(n.engine);
+    }
+
+    /**
+     * The pooled bound goes with the cores that can work now: engines that drain, are silent or still warm up
+     * take their part of it with them, else what they held would be sent to the rest on top of theirs.
+     */
+    private void rescale() {
+        double sum = 0;
+        for (Node n : nodes.values()) {
+            double since = (now - n.engine.startedAt()) / set.rules().cold(), least = set.rules().coldShare();
+            sum += n.bound != pool || n.engine.state() != EngineState.READY || n.shunned() ? 0
+                    : cores(n.engine) * (cold(n) ? least + (1 - least) * Math.max(0, since) : 1);
+        }
+        if (pool != null && sum > 0) {
+            double part = sum / set.routers();
+            pool.width = reach > 0 ? pool.width * sum / reach : pool.width + (part < BROAD ? 1 : KNEE) * part;
+            reach = sum;
+        }
     }
 
     /** Widening asks that each class is near its best: short ones with priority feel a full engine last. */
@@ -760,6 +776,7 @@
             wordsAt = now + 1000;
             words.expire(now);
         }
+        rescale();
         fleet = allPooled && spoken() ? fleet() : 0;
         warm = nodes.values().stream().mapToDouble(n -> cold(n) || n.shunned() ? 0 : 1).average().orElse(1);
         List<Node> busy = nodes.values().stream().filter(n -> !n.outstanding.isEmpty()).toList();
@@ -870,6 +887,7 @@
             known(e);
         }
         chooseOwn();
+        rescale();
     }
 
     /**
@@ -966,9 +984,11 @@
     }
 
     /**
-     * Cold engines: this router's even part of the least that makes one fall, over the stated span. Where
-     * that is below the lightest query, a restarted engine would idle until warm: then routers take turns, by
-     * number and by the engine's start, a few each span. A span touches two turns, so each has half of it.
+     * Cold engines: what makes one fall, over the stated span, is the fleet's. An even part of it is soon
+     * below the heaviest query, which then finds no cold engine until it is warm. So each cold engine has
+     * hosts, by number and its id: as many routers as can send it a heaviest query each. Where an even part
+     * is below the lightest, hosts would see too few queries: routers take turns, by number and by the
+     * engine's start, a few each span. A span touches two turns, so each has half of it.
      */
     private boolean coldRoom(Kind k, Node n) {
         Rules r = set.rules();
@@ -977,15 +997,20 @@
             return true;
         }
         double all = COLD_MARGIN * r.fallMultiple() * r.coldShare() * 0.85 * cores(n.engine) * r.fall();
-        double mine = all / set.routers(), least = Double.MAX_VALUE;
+        double least = Double.MAX_VALUE, most = 1;
         for (int c = 0; c < kinds.length; c += 2) {
             least = Math.min(least, usualWork(kinds[c]));
+            most = Math.max(most, usualWork(kinds[c]));
         }
-        if (set.routers() > 2 * TURN && mine < least) {
-            long turn = (long) Math.floor(since / r.fall());
-            mine = Math.floorMod(set.me() - turn * TURN, (long) set.routers()) < TURN ? all / 2 / TURN : 0;
+        double hosts = Math.max(1, Math.min(set.routers(), Math.floor(all / most)));
+        long place = set.me() + (long) (State.draw(n.engine.id()) * set.routers());
+        if (set.routers() > 2 * TURN && all / set.routers() < least) {
+            place = set.me() - (long) Math.floor(since / r.fall()) * TURN;
+            hosts = TURN;
+            all /= 2;
         }
-        return n.recent(now, r.fall()) + usualWork(k) <= mine;
+        return Math.floorMod(place, (long) set.routers()) < hosts
+                && n.recent(now, r.fall()) + usualWork(k) <= all / hosts;
     }
 
     /** The usual work of a class as the cold guard counts it: told, else estimated, else the time it held. */
--- a/decision/src/test/java/quincespar/decision/ManyRoutersTest.java
+++ b/decision/src/test/java/quincespar/decision/ManyRoutersTest.java
@@ -124,6 +124,87 @@
                 false, null, null);
     }
 
+    private static Rig fourteen(int me, int engines) {
+        Rig r = new Rig();
+        r.routers = 14;
+        r.me = me;
+        r.classes.add(Rig.safe("light", 500, 1));
+        r.classes.add(new ClassSpec("long", 2000, 0, 12000, 1, 0.5, Effect.SAFE, Scope.ALL, 0, false, false, 2, false,
+                false, null, null));
+        r.classes.add(wide("longer", 2));
+        List<Engine> list = new ArrayList<>();
+        for (int i = 0; i < engines; i++) {
+            list.add(Rig.ready(10 + i));
+        }
+        return r.start(list.toArray(new Engine[0]));
+    }
+
+    private static int fill(Rig r, int from, int cls, double work) {
+        int sent = 0;
+        for (int i = 0; i < 200; i++) {
+            sent += Rig.sends(r.tell(query(from + i, cls, work, 0))).size();
+        }
+        return sent;
+    }
+
+    /** An even part of a cold engine's allowance is below a long query: none would find room until it is warm. */
+    @Test
+    void longQueriesFindRoomAtColdEnginesAndTheFleetKeepsTheRule() {
+        double[][] sent = new double[20][3];
+        for (int me = 0; me < 14; me++) {
+            Rig r = fourteen(me, 0);
+            for (int e = 0; e < 20; e++) {
+                r.tell(new Gateway.Listed(Gateway.ListKind.DELTA, 2 + e,
+                        List.of(Rig.engine(50 + e, 0, 0, EngineState.READY, r.now))));
+            }
+            for (int span = 0; span < 3; span++) {
+                for (int cls = 0; cls < 3; cls++) {
+                    double work = cls == 0 ? 100 : 1000 + 400 * cls;
+                    for (int i = 0; i < 30; i++) {
+                        for (Send s : Rig.sends(r.tell(query(1000 * span + 100 * cls + i, cls, work, 0)))) {
+                            sent[(int) s.engine() - 50][span] += cls == 0 ? 100 : 1000 + 400 * cls;
+                        }
+                    }
+                }
+                r.after(1000, new Timer(1));
+            }
+        }
+        double falls = 2 * 0.3 * 0.85 * 8 * 1000, all = 0;
+        for (double[] spans : sent) {
+            for (double work : spans) {
+                assertTrue(work <= falls, "sent " + work + " where " + falls + " make it fall");
+                all += work;
+            }
+        }
+        assertTrue(all > 20 * 1000, "cold engines get work: " + all);
+    }
+
+    /** What engines that leave held is not sent to the rest on top of theirs; with their return it is again. */
+    @Test
+    void thePooledBoundGoesWithTheCoresThatWork() {
+        int[] room = new int[3];
+        for (int left = 0; left < 3; left++) {
+            Rig r = fourteen(0, 60);
+            for (int e = 0; e < 20 * left; e++) {
+                r.tell(new Gateway.Listed(Gateway.ListKind.DELTA, 2 + e,
+                        List.of(Rig.engine(10 + e, 0, 0, EngineState.DRAINING, 0))));
+            }
+            room[left] = fill(r, 1, 1, 2000);
+        }
+        assertTrue(room[0] > 20, "room for " + room[0]);
+        assertEquals(room[0] * 2 / 3.0, room[1], 2);
+        assertEquals(room[0] / 3.0, room[2], 2);
+    }
+
+    /** In a broad bound a class of less worth a second is not passed by all that comes later. */
+    @Test
+    void aBroadBoundCountsItsClassesAlike() {
+        Rig r = fourteen(0, 60);
+        assertTrue(fill(r, 1, 2, 6000) > 20, "long ones fill it");
+        assertEquals(0, fill(r, 1000, 1, 2000), "long ones of more worth a second wait too");
+        assertTrue(fill(r, 2000, 0, 100) > 0, "the class that leads still goes");
+    }
+
     /** However slow answers become, a router keeps its part of the cores: a thread a core overfills nothing. */
     @Test
     void thePooledBoundKeepsThisRoutersPartOfTheCores() {
