Take room from engines' reports under a broad pool, held queries counting twice

Cause: in a release the pooled bound was full of threads stuck at the old engines, at 1.3 to 2.7 queries a core, while the new ones stood at util 0.3 for 15 s and got nothing; after it reports and loads waited 14 s at util 0.6. Old engines at 2 queries a core did little (util 0.36, disks 0.37): out of memory they look idle to a sum of util, disks and queries. Seen in each report of each answer, by engine and 3 s.

Change: under a broad pool an engine whose fresh report tells of little has room beside the pool, a cold one up to the cold guard, and one whose report tells of much has none. A held query counts twice in what a report tells.

--- a/decision/src/main/java/quincespar/decision/Brain.java
+++ b/decision/src/main/java/quincespar/decision/Brain.java
@@ -21,8 +21,7 @@
     /** A query foretold at this many times its class's usual work is huge: a type of its own. */
     private static final double HEAVY = 4;
     /** The bound widens while latency is under this multiple of the best seen and is cut above the other. */
-    private static final double NEAR = 1.25, GROWN = 1.6, POOL_GAIN = 0.5, POOL_CUT = 0.06,
-            UNTOLD_GAIN = 1;
+    private static final double NEAR = 1.25, GROWN = 1.6, POOL_GAIN = 0.5, POOL_CUT = 0.06;
     /** Share of the cold allowance that is used: engines differ by some tenths and works are estimates. */
     private static final double COLD_MARGIN = 0.7;
     /** Routers that may send to a cold engine in one turn: few, so that each may send a query or more. */
@@ -47,10 +46,10 @@
     private static final double LEAN = 0.5;
     /** Times the mean idle part that a router may use more: the fleet stays near its bound if a third ask. */
     private static final double BORROW = 3;
-    /** What a thread of lesser γμ counts against a class: engines that heed priority share as 1 to 4. */
-    private static final double LOWER = 0.25;
-    /** The same under an engine's own bound, against the class of the largest γμ: a half fills no engine. */
-    private static final double LOWER_OWN = 0.5;
+    /** What a thread of lesser γμ counts against a class; else against that of the largest γμ alone. */
+    private static final double LOWER = 0.25, LOWER_OWN = 0.5;
+    /** Load as reports tell it: room below, none above. Out of memory it works little: held counts twice. */
+    private static final double ROOMY = 2.8, FULL = 3.6, HOLDING = 2;
     /** Few queries do not fill a pooled bound of so many threads; threads a core that it has at first. */
     private static final double BROAD = 12, KNEE = 1.5;
     /** Engines that a router watches. */
@@ -82,7 +81,7 @@
     private double reach, now, watchAt, watchWait, tidyAt, timerAt, wordsAt, fleet, warm, startedAt = -1;
     private long sequence;
     private int open, said;
-    private boolean watching, allPooled, stalled, grouped;
+    private boolean watching, allPooled, stalled, grouped, spoken;
 
     /** Starts one router's module; the seed feeds its only source of chance. */
     public Brain(Settings settings, long seed) {
@@ -239,8 +238,7 @@
     /** Expected time of this query on an engine of usual pace: learned time for each unit of its estimate. */
     private double expected(Query q) {
         Kind k = kinds[q.cls * 2 + q.band];
-        Kind plain = kinds[q.cls * 2];
-        double ratio = k.ratio.weight > 1 ? k.ratio.value(1) : plain.ratio.value(1.3);
+        double ratio = k.ratio.weight > 1 ? k.ratio.value(1) : kinds[q.cls * 2].ratio.value(1.3);
         return Math.max(1, ratio * q.estimate / q.spec.threads());
     }
 
@@ -260,8 +258,7 @@
 
     private double worth(Type t, Query q, Node n) {
         double w = q.spec.worth() * (q.overShare ? set.overShareWorth() : 1);
-        boolean late = t.hope == 2 || now > latestStart(q, pace(n));
-        return late ? w * q.spec.lateWorth() : w;
+        return t.hope == 2 || now > latestStart(q, pace(n)) ? w * q.spec.lateWorth() : w;
     }
 
     /**
@@ -304,12 +301,30 @@
      */
     private boolean room(Node n, Kind k) {
         if (!n.shunned()) {
-            return room(n.bound, k);
+            boolean full = told(n) > FULL && !n.outstanding.isEmpty();
+            return n.bound == pool && roomy(n) || !full && room(n.bound, k);
         }
         return now >= n.retryAt + (k.spec.effect() == Effect.SAFE ? 0 : n.backoff)
                 && n.outstanding.stream().noneMatch(a -> a.at > n.shunnedFrom);
     }
 
+    /**
+     * Under a broad pool what is stuck at full engines must not keep idle ones idle, nor go on filling them:
+     * a fresh report tells whether there is room, and at a cold engine the cold guard is the bound.
+     */
+    private boolean roomy(Node n) {
+        return pool.threads < 2 * pool.width && (cold(n) && broad(n) || told(n) < ROOMY);
+    }
+
+    private boolean broad(Node n) {
+        return n.bound == pool && pool.width >= BROAD && !n.shunned();
+    }
+
+    /** What a fresh report tells of an engine under a broad pool; else no number, neither little nor much. */
+    private double told(Node n) {
+        return broad(n) && !Double.isNaN(n.told) && n.toldAt > now - FADE ? loaded(n) : Double.NaN;
+    }
+
     /**
      * Parts that others leave idle may be used: a pooled bound is wider while the fleet holds less. It is a
      * few threads, so one or two long queries fill it for seconds: against a class of larger γμ they count
@@ -317,7 +332,7 @@
      * bound that holds for the class of the largest γμ alone: it is the smaller part of the work.
      */
     private boolean room(Bound b, Kind k) {
-        double taken = b.threads, spare = b == pool && spoken() ? BORROW * (b.width - fleet) : 0;
+        double taken = b.threads, spare = b == pool && spoken ? BORROW * (b.width - fleet) : 0;
         boolean leads = leads(kinds[k.cls * 2]);
         double lower = b == pool && b.width < BROAD ? LOWER : leads ? LOWER_OWN : 1;
         for (int c = 0; lower < 1 && c < kinds.length; c += 2) {
@@ -327,11 +342,6 @@
                 + (leads ? Math.max(0, spare) : spare);
     }
 
-    /** Whether words tell of the fleet: not just after a start, when nothing has been heard yet. */
-    private boolean spoken() {
-        return set.limits().tell() && now > startedAt + MEMORY / 4;
-    }
-
     /** Threads out over the fleet for each router: told ones by watched engines, the others by its own. */
     private double fleet() {
         double threads = 0, watched = 0, all = 0;
@@ -361,27 +371,20 @@
         k.best += 0.0005;
         double grown = Math.exp(level - k.best);
         boolean wanted = b.threads + 2 * k.spec.threads() > b.width;
-        if (b == pool) {
-            double gain = set.fleet().tellsCost() ? POOL_GAIN : UNTOLD_GAIN;
-            b.width *= grown > GROWN ? 1 - POOL_CUT : 1;
-            b.width += wanted && allNear(b) ? gain * k.spec.threads() / Math.max(1, b.width) : 0;
-        } else if (grown > GROWN) {
-            b.width -= 0.5;
+        if (grown > GROWN) {
+            b.width -= b == pool ? POOL_CUT * b.width : 0.5;
         } else if (wanted && allNear(b)) {
-            b.width += 1 / Math.max(1, b.width) * k.spec.threads();
+            double gain = b == pool && set.fleet().tellsCost() ? POOL_GAIN : 1;
+            b.width += gain * k.spec.threads() / Math.max(1, b.width);
         }
-        double part = reach(n) / set.routers(); // a thread for each core overfills nothing
-        b.width = Math.max(Math.max(1, part), Math.min(b.width, 4 * reach(n)));
+        double all = b == pool ? reach : cores(n.engine); // its part of a thread a core overfills nothing
+        b.width = Math.max(Math.max(1, all / set.routers()), Math.min(b.width, 4 * all));
     }
 
     private boolean cold(Node n) {
         return n.engine.startedAt() > 0 && now - n.engine.startedAt() <= set.rules().cold();
     }
 
-    private double reach(Node n) {
-        return n.bound == pool ? reach : cores(n.engine);
-    }
-
     /**
      * The pooled bound goes with the cores that can work now: engines that drain, are silent or still warm up
      * take their part of it with them, else what they held would be sent to the rest on top of theirs.
@@ -421,11 +424,12 @@
             double best = 0;
             for (Type t : types) {
                 Query q = null;
-                if (t.queue.isEmpty() || allPooled && !room(pool, t.kind)) {
+                if (t.queue.isEmpty()) {
                     continue;
                 }
+                boolean full = allPooled && !room(pool, t.kind);
                 for (Node n : nodes.values()) {
-                    if (!room(n, t.kind) || n.engine.state() != EngineState.READY
+                    if (full && !roomy(n) || !room(n, t.kind) || n.engine.state() != EngineState.READY
                             || !coldRoom(kinds[t.kind.cls * 2], n)) {
                         continue; // what no query of the class may do is not asked of each one
                     }
@@ -457,7 +461,7 @@
                 return;
             }
             load += switch (fields.get(i)) {
-                case "outstanding", "backlog" -> v / cores(n.engine);
+                case "outstanding", "backlog" -> HOLDING * v / cores(n.engine);
                 case "utilization", "x0", "x1" -> Math.min(v, 1.2);
                 default -> 0;
             };
@@ -481,7 +485,7 @@
         }
         double keep = Math.exp((n.toldAt - now) / FADE), usual = usualLoad.value(0);
         long since = n.outstanding.stream().filter(a -> a.at > n.toldAt).count();
-        return usual + (n.told - usual) * keep + since / cores(n.engine);
+        return usual + (n.told - usual) * keep + HOLDING * since / cores(n.engine);
     }
 
     /** The oldest query of a type that may go here; only rules and held tables make it look past the head. */
@@ -777,14 +781,17 @@
             words.expire(now);
         }
         rescale();
-        fleet = allPooled && spoken() ? fleet() : 0;
+        spoken = set.limits().tell() && now > startedAt + MEMORY / 4; // at first nothing has been heard
+        fleet = allPooled && spoken ? fleet() : 0;
         warm = nodes.values().stream().mapToDouble(n -> cold(n) || n.shunned() ? 0 : 1).average().orElse(1);
         List<Node> busy = nodes.values().stream().filter(n -> !n.outstanding.isEmpty()).toList();
         double[] quiet = busy.stream().mapToDouble(n -> silence(n)).sorted().toArray();
         int middle = quiet.length - 1 - nodes.size() / 2; // idle engines are silent for nothing
         double usual = middle < 0 ? 0 : quiet[middle];
         for (Node n : busy) {
-            boolean silent = silence(n) > SILENT + 2 * usual && now - heard(n) > set.fleet().notePeriod();
+            double first = n.outstanding.stream().mapToDouble(a -> a.at).min().orElse(now);
+            boolean silent = silence(n) > SILENT + 2 * usual
+                    && now - Math.max(first, n.heardAt) > set.fleet().notePeriod();
             if (silent && !n.shunned()) {
                 shun(n);
             }
@@ -806,11 +813,6 @@
         return sum;
     }
 
-    private double heard(Node n) {
-        double first = n.outstanding.stream().mapToDouble(a -> a.at).min().orElse(now);
-        return Math.max(first, n.heardAt);
-    }
-
     private boolean straggles(Attempt a) {
         Kind k = kinds[a.query.cls * 2 + a.query.band];
         double deviations = set.fleet().notePeriod() > 0 ? 2.5 : 1.4; // notes tell more surely than time
--- a/decision/src/test/java/quincespar/decision/ManyRoutersTest.java
+++ b/decision/src/test/java/quincespar/decision/ManyRoutersTest.java
@@ -125,7 +125,10 @@
     }
 
     private static Rig fourteen(int me, int engines) {
-        Rig r = new Rig();
+        return fourteen(new Rig(), me, engines);
+    }
+
+    private static Rig fourteen(Rig r, int me, int engines) {
         r.routers = 14;
         r.me = me;
         r.classes.add(Rig.safe("light", 500, 1));
@@ -205,6 +208,28 @@
         assertTrue(fill(r, 2000, 0, 100) > 0, "the class that leads still goes");
     }
 
+    /**
+     * What is stuck at full engines fills the pooled bound: one that reports that it is idle must not stay idle.
+     * One that holds two queries a core and does little work is out of memory, not idle.
+     */
+    @Test
+    void anEngineThatReportsThatItIsIdleHasRoomUnderAFullBound() {
+        double[][] reports = {{1, 0.1}, {20, 1}, {16, 0.1}};
+        for (double[] report : reports) {
+            Rig r = new Rig();
+            r.reports = List.of("outstanding", "utilization");
+            fourteen(r, 0, 60);
+            Send one = Rig.sends(r.tell(query(1, 2, 6000, 0))).get(0);
+            fill(r, 1000, 2, 6000);
+            assertEquals(0, Rig.sends(r.tell(query(2000, 1, 2000, 0))).size(), "the bound is full");
+            Ended end = new Ended(1, 0, one.engine(), Outcome.OK, 3000, true, 6000, Double.NaN,
+                    List.of(report[0], report[1]));
+            List<Send> sends = Rig.sends(r.after(10, end, query(2001, 1, 2000, 0), query(2002, 1, 2000, 0)));
+            long there = sends.stream().filter(s -> s.engine() == one.engine()).count();
+            assertTrue(report[0] == 1 ? there > 1 : sends.size() <= 1, report[0] + " held: " + sends);
+        }
+    }
+
     /** However slow answers become, a router keeps its part of the cores: a thread a core overfills nothing. */
     @Test
     void thePooledBoundKeepsThisRoutersPartOfTheCores() {
