--- a/decision/src/test/java/quincespar/decision/ManyRoutersTest.java
+++ b/decision/src/test/java/quincespar/decision/ManyRoutersTest.java
@@ -230,6 +230,41 @@
         }
     }
 
+    /** An engine that tells that it is full gets nothing more while something of this router's runs there. */
+    @Test
+    void anEngineThatReportsThatItIsFullHasNoRoomThoughTheBoundHas() {
+        for (double held : new double[] {1, 40}) {
+            Rig r = new Rig();
+            r.reports = List.of("outstanding", "utilization");
+            r.routers = 5;
+            r.classes.add(Rig.safe("light", 1000, 1));
+            r.classes.add(wide("long", 2));
+            r.start(java.util.stream.LongStream.range(10, 22).mapToObj(Rig::ready).toArray(Engine[]::new));
+            Map<Long, List<Long>> at = new TreeMap<>();
+            for (int i = 1; i <= 120; i++) {
+                Rig.sends(r.tell(query(i, 0, 100, 0))).forEach(s -> at.computeIfAbsent(s.engine(),
+                        e -> new ArrayList<>()).add(s.id()));
+            }
+            for (long e = 10; e < 22; e++) { // where this router has fewer than two, none is to be had
+                if (at.getOrDefault(e, List.of()).size() < 2) {
+                    at.remove(e);
+                    r.tell(new Gateway.Listed(Gateway.ListKind.DELTA, e,
+                            List.of(Rig.engine(e, 0, 0, EngineState.DRAINING, 0))));
+                }
+            }
+            assertTrue(at.size() > 8, "two or more on most: " + at);
+            r.now += 5000; // those that wait have been given up
+            r.tell(new Timer(1));
+            at.forEach((e, l) -> r.tell(new Ended(l.get(0), 0, e, Outcome.OK, 100, true, 100, Double.NaN,
+                    List.of(held, held == 1 ? 0.1 : 1.0))));
+            int more = 0;
+            for (int i = 200; i < 230; i++) {
+                more += Rig.sends(r.tell(query(i, 0, 100, 0))).size();
+            }
+            assertTrue(held == 1 ? more > 0 : more == 0, more + " sent to engines that hold " + held);
+        }
+    }
+
     /** However slow answers become, a router keeps its part of the cores: a thread a core overfills nothing. */
     @Test
     void thePooledBoundKeepsThisRoutersPartOfTheCores() {
