--- a/frontend/src/main/java/quincespar/program/FrontEnd.java
+++ b/frontend/src/main/java/quincespar/program/FrontEnd.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicLong;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import quincespar.decision.Brain;
@@ -28,6 +29,7 @@
     /** Descriptors: a third is the clients' by the protocol; the rest covers theirs that linger, and ours. */
     private static final double CLIENT_SHARE = 0.45;
 
+    private final AtomicLong stepUs = new AtomicLong(), longestStepUs = new AtomicLong();
     private final Lifecycle lifecycle = new Lifecycle();
     private final Counters counters = new Counters();
     private final Clock clock = new Clock();
@@ -97,6 +99,7 @@
     void reportEvery(long everyMs) {
         timers.after(everyMs, () -> {
             log.info("{}: counters: {}", configuration.name(), report());
+            log.info("{}: engines: {}", configuration.name(), reducer.engines());
             reportEvery(everyMs);
         });
     }
@@ -126,7 +129,11 @@
     private void step(List<Input> batch) {
         try {
             batch.forEach(counters::taken);
-            perform(reducer.step(clock.now(), batch));
+            double from = clock.now();
+            perform(reducer.step(from, batch));
+            long us = Math.round(1000 * (clock.now() - from));
+            stepUs.addAndGet(us);
+            longestStepUs.accumulateAndGet(us, Math::max);
         } catch (RuntimeException | OutOfMemoryError e) { // nothing that comes from a peer may end the program
             uncaught("in the reducer", e);
         }
@@ -192,6 +199,9 @@
         reducer.held().forEach((name, n) -> all.put(name, n.toString()));
         all.put("changes.age_ms", Long.toString(Math.round(reducer.listAge(clock.now()))));
         reducer.tally().forEach((name, n) -> all.put(name, n.toString()));
+        all.put("steps.us", stepUs.toString());
+        all.put("steps.longest_us", longestStepUs.toString());
+        ProcessHandle.current().info().totalCpuDuration().ifPresent(d -> all.put("cpu.ms", Long.toString(d.toMillis())));
         all.put("log.dropped", Long.toString(logs.dropped()));
         all.put("held.timers", Integer.toString(timers.size()));
         all.put("held.inputs", Integer.toString(inputs.size()));
--- a/frontend/src/main/java/quincespar/routing/Reducer.java
+++ b/frontend/src/main/java/quincespar/routing/Reducer.java
@@ -96,6 +96,14 @@
         return tally.all();
     }
 
+    /**
+     * What was sent and how it ended by engine, and links: {@code links} opened, {@code refused}, and
+     * {@code unreached} in time. Counts since the start, as {@code id.what}; may be asked for on any thread.
+     */
+    public Map<String, Long> engines() {
+        return tally.engines();
+    }
+
     /** What is held, by name, for the counters. */
     public Map<String, Integer> held() {
         Map<String, Integer> out = new LinkedHashMap<>();
@@ -155,7 +163,11 @@
         } else if (i instanceof Input.LinkUp x) {
             linkUp(links.get(x.link()));
         } else if (i instanceof Input.LinkDown x) {
-            linkDown(links.get(x.link()));
+            Link down = links.get(x.link());
+            if (down != null && !down.up) {
+                tally.engine(down.engine.listed.id(), "refused");
+            }
+            linkDown(down);
         } else if (i instanceof Input.Withdrawn x) {
             left(x.caller());
         } else if (i instanceof Input.CallerGone x) {
@@ -339,6 +351,7 @@
 
     private void write(Attempt a) {
         Query q = a.request.query;
+        tally.engine(a.link.engine.listed.id(), "sent");
         effects.add(new Effect.Send(a.link.id, a.key, q.txn(), site.module().classes().get(q.cls()).name(),
                 Math.max(1, Math.round(a.until - now)), q.statement(), a.passage));
     }
@@ -372,6 +385,9 @@
         a.outcome = outcome;
         tally.count(a.link == null ? "unsent" : "ended", outcome, className(a.request));
         tally.add("ms", outcome, className(a.request), Math.round(now - a.at));
+        if (a.link != null) {
+            tally.engine(a.link.engine.listed.id(), outcome.name());
+        }
         effects.add(new Effect.StopTimer(new TimerKey.Attempt(a.key)));
         if (a.givenUp != null) {
             effects.add(new Effect.StopTimer(new TimerKey.GiveUp(a.key)));
@@ -508,6 +524,7 @@
             best = new Link(++serial, e, now);
             e.links.add(best);
             links.put(best.id, best);
+            tally.engine(e.listed.id(), "links");
             effects.add(new Effect.OpenLink(best.id, e.listed.address()));
             startTimer(new TimerKey.Connect(best.id), Math.max(LEAST_CONNECT,
                     site.module().limits().connectTimeout()));
@@ -555,6 +572,9 @@
     }
 
     private void drop(Link l, String why) {
+        if (!l.up) {
+            tally.engine(l.engine.listed.id(), "unreached");
+        }
         effects.add(new Effect.CloseLink(l.id, why));
         linkDown(l);
     }
--- a/frontend/src/test/java/quincespar/routing/ReducerTest.java
+++ b/frontend/src/test/java/quincespar/routing/ReducerTest.java
@@ -133,6 +133,23 @@
         assertThat(last(Effect.Answer.class).reply()).isInstanceOf(Reply.Failed.class); // nor refused
     }
 
+    /** What each engine got, how it ended, and which of its links never came up. */
+    @Test
+    void engineCountsTellWhatWasSentAndWhatWasRefused() {
+        Effect.Send s = sent(0);
+        begun(s);
+        step(new Input.Said(s.link(), done(s, 1)));
+        assertThat(reducer.engines()).containsEntry("a.sent", 1L).containsEntry("a.ok", 1L).containsEntry("a.links", 1L)
+                .doesNotContainKeys("a.refused", "b.sent");
+        step(new Input.Asked(new Caller(CALLER.connection(), 2),
+                new Query("00000000000000ab", 0, 0, 4000, false, 10, 0, 0, new byte[0]), now));
+        plan.add(new Gateway.Send(of(Gateway.Request.class, told).get(1).id(), engine(1), 0));
+        step(new Input.TimerFired(new TimerKey.Module(1, 1)));
+        step(new Input.LinkDown(last(Effect.OpenLink.class).link(), "refused"));
+        assertThat(reducer.engines()).containsEntry("b.refused", 1L).containsEntry("b.connect_failed", 1L)
+                .containsEntry("b.links", 1L).doesNotContainKey("b.sent");
+    }
+
     @Test
     void whatWasNotWrittenNeverRan() {
         Effect.Send s = sent(1);
