Let loads share links until an engine's answer has come spoilt

The guard is against spoilt answers, which end a link and lose the load on it; most fleets never send one.

Change: what may not run twice goes alone once an engine's answer was malformed, stopped short or had a page that can't be; until then it shares links as others do.

--- a/frontend/src/main/java/quincespar/routing/Reducer.java
+++ b/frontend/src/main/java/quincespar/routing/Reducer.java
@@ -42,6 +42,10 @@
     private final Map<String, OpenRequest> names = new HashMap<>();
     private final Fronts fronts = new Fronts();
     private final Tally tally = new Tally();
+    /** How the cause of a link's end begins where what the engine said made no sense. */
+    private static final String MALFORMED = "malformed: ";
+    /** Whether an engine's answer has ever come spoilt: it may again. */
+    private boolean spoilt;
     private final Map<Long, Link> links = new LinkedHashMap<>();
     private final Map<String, Link> probes = new LinkedHashMap<>();
     private List<Effect> effects = new ArrayList<>();
@@ -167,6 +171,7 @@
             if (down != null && !down.up) {
                 tally.engine(down.engine.listed.id(), "refused");
             }
+            spoilt |= x.cause().startsWith(MALFORMED);
             linkDown(down);
         } else if (i instanceof Input.Withdrawn x) {
             left(x.caller());
@@ -411,7 +416,7 @@
         EngineNews news = x.news();
         if (news instanceof EngineNews.Unreadable u) {
             if (l.open.containsKey(u.id())) { // under an id that is not open it is no news, readable or not
-                drop(l, "malformed: " + u.why());
+                drop(l, MALFORMED + u.why());
             }
             return;
         }
@@ -431,7 +436,7 @@
             if (a.add(p.number(), p.page())) {
                 serveIfWhole(a);
             } else {
-                drop(l, "page " + p.number() + " of " + a.pageCount());
+                drop(l, MALFORMED + "page " + p.number() + " of " + a.pageCount());
             }
         } else if (news instanceof EngineNews.Full f && !a.done()) { // said after DONE it proves nothing
             a.load = f.load();
@@ -506,7 +511,8 @@
      * could come in before that cancel and be a second copy. So it stays on that link.
      *
      * A link that ends takes all that is open on it along, and an answer that arrives spoilt ends it. So few share
-     * one while others are to be had, and what may not run twice goes alone: it would be lost.
+     * one while others are to be had, and what may not run twice goes alone, as it would be lost; but only once an
+     * answer has come spoilt: over a large fleet that is nearly twice the links, and each costs a handshake.
      */
     private Link link(Fleet.Engine e, String txn, boolean alone) {
         Link best = null;
@@ -519,7 +525,7 @@
                 best = l;
             }
         }
-        if ((best == null || shared(best) >= (alone ? 1 : bounds.sharedPerLink()))
+        if ((best == null || shared(best) >= (alone && spoilt ? 1 : bounds.sharedPerLink()))
                 && e.links.size() < bounds.linksPerEngine()) {
             best = new Link(++serial, e, now);
             e.links.add(best);
@@ -537,7 +543,7 @@
 
     /** How much is lost if the link ends; one that carries what may not run twice is full. */
     private int shared(Link l) {
-        boolean dear = l.open.values().stream().anyMatch(a -> unsafe(a.request));
+        boolean dear = spoilt && l.open.values().stream().anyMatch(a -> unsafe(a.request));
         return l.open.size() + (dear ? bounds.sharedPerLink() : 0);
     }
 
@@ -575,6 +581,7 @@
         if (!l.up) {
             tally.engine(l.engine.listed.id(), "unreached");
         }
+        spoilt |= why.startsWith(MALFORMED);
         effects.add(new Effect.CloseLink(l.id, why));
         linkDown(l);
     }
@@ -694,7 +701,7 @@
                 drop(links.get(k.link()), "idle");
             }
         } else if (key instanceof TimerKey.Midway k && links.containsKey(k.link())) {
-            drop(links.get(k.link()), "an answer that stopped short"); // what else is open there waits in vain
+            drop(links.get(k.link()), MALFORMED + "an answer that stopped short"); // what else is open there waits in vain
         } else if (key instanceof TimerKey.Front k && fronts.get(k.connection()) != null) {
             if (fronts.get(k.connection()).open.isEmpty()) {
                 closeCaller(k.connection(), "nothing open");
