--- a/decision/src/test/java/quincespar/decision/LargeFleetTest.java
+++ b/decision/src/test/java/quincespar/decision/LargeFleetTest.java
@@ -144,6 +144,8 @@
             assertTrue(asked != null, "a second final answer to " + r.id());
             assertTrue(asked.cls() != LOAD || !f.sends.containsKey(r.id()), "a load refused that may have run");
             turnedAway++;
+        } else if (action instanceof Gateway.Probe) {
+            throw new AssertionError("a probe: reports come with answers, and probes are priced over the fleet");
         } else if (action instanceof Fail x) {
             assertTrue(f.open.remove(x.id()) != null, "a second final answer to " + x.id());
             failed++;
@@ -259,4 +261,21 @@
         run(5, true);
         finish();
     }
+
+    /** A wrong number of routers is refused where it can't be, and one alone takes all of a cold engine's allowance. */
+    @Test
+    void theNumberOfRoutersIsChecked() {
+        Rig none = new Rig();
+        none.routers = 0;
+        none.classes.add(Rig.safe("light", 1000, 1));
+        org.junit.jupiter.api.Assertions.assertThrows(IllegalArgumentException.class, () -> none.start(Rig.ready(1)));
+        Rig one = new Rig();
+        one.classes.add(Rig.safe("light", 1000, 1));
+        one.start(Rig.engine(1, 0, 0, EngineState.READY, one.now));
+        int sent = 0;
+        for (int i = 1; i < 60; i++) {
+            sent += Rig.sends(one.tell(new Request(i, 0, 0, 4000, 100, 0, 0, 0, false, false))).size();
+        }
+        assertTrue(sent > 0 && sent * 100 <= FALLS, "sent " + sent);
+    }
 }
