Note a spoilt answer where every link ends, and share what the fleet tests said twice

The spoilt answer was noted in two places that both end in linkDown; the work that makes a cold engine fall stood in three tests, lists of ready engines in three, a class's work twice in one.

Change: linkDown takes the cause and notes it once; Rig.falls and Rig.readyFrom serve the tests. Behaviour and assertions stay as they are.

--- a/decision/src/test/java/quincespar/decision/LargeFleetTest.java
+++ b/decision/src/test/java/quincespar/decision/LargeFleetTest.java
@@ -32,8 +32,7 @@
     private static final int ROUTERS = 14, ENGINES = 60, STEP = 20, LOAD = 2;
     private static final double[] WORK = {100, 900, 1500};
     private static final double[] PATIENCE = {4000, 12000, 20000};
-    /** What makes a cold engine fall in any second, in work: Rig's multiple, cold share, cores and span. */
-    private static final double FALLS = 2 * 0.3 * 0.85 * 8 * 1000;
+    private static final double FALLS = new Rig().falls();
 
     private record Flight(long id, int cls, int number, long engine, double at, double due) { }
 
@@ -52,20 +51,13 @@
     private final Map<Long, Boolean> answers = new TreeMap<>();
     private final Map<Long, Double> startedAt = new HashMap<>();
     private final Map<Long, List<double[]>> sentCold = new HashMap<>();
-    private final Random random;
+    private final Random random = new Random(5);
     private double now = 1000;
     private long ids, served, turnedAway, failed, toColdLong;
 
-    LargeFleetTest() {
-        random = new Random(5);
-    }
-
     private void begin() {
-        List<Engine> list = new ArrayList<>();
-        for (long e = 1; e <= ENGINES; e++) {
-            list.add(Rig.ready(e));
-            answers.put(e, true);
-        }
+        List<Engine> list = Rig.readyFrom(1, ENGINES);
+        list.forEach(e -> answers.put(e.id(), true));
         for (int me = 0; me < ROUTERS; me++) {
             Front f = new Front();
             f.rig.routers = ROUTERS;
--- a/decision/src/test/java/quincespar/decision/ManyRoutersTest.java
+++ b/decision/src/test/java/quincespar/decision/ManyRoutersTest.java
@@ -28,11 +28,7 @@
         r.routers = routers;
         r.me = me;
         r.classes.add(Rig.safe("light", 1000, 1));
-        List<Engine> list = new ArrayList<>();
-        for (int i = 0; i < engines; i++) {
-            list.add(Rig.ready(10 + i));
-        }
-        return r.start(list.toArray(new Engine[0]));
+        return r.start(Rig.readyFrom(10, engines).toArray(new Engine[0]));
     }
 
     /** Room for one at each idle engine would be room for all at once: the parts are pooled. */
@@ -135,11 +131,7 @@
         r.classes.add(new ClassSpec("long", 2000, 0, 12000, 1, 0.5, Effect.SAFE, Scope.ALL, 0, false, false, 2, false,
                 false, null, null));
         r.classes.add(wide("longer", 2));
-        List<Engine> list = new ArrayList<>();
-        for (int i = 0; i < engines; i++) {
-            list.add(Rig.ready(10 + i));
-        }
-        return r.start(list.toArray(new Engine[0]));
+        return r.start(Rig.readyFrom(10, engines).toArray(new Engine[0]));
     }
 
     private static int fill(Rig r, int from, int cls, double work) {
@@ -165,14 +157,14 @@
                     double work = cls == 0 ? 100 : 1000 + 400 * cls;
                     for (int i = 0; i < 30; i++) {
                         for (Send s : Rig.sends(r.tell(query(1000 * span + 100 * cls + i, cls, work, 0)))) {
-                            sent[(int) s.engine() - 50][span] += cls == 0 ? 100 : 1000 + 400 * cls;
+                            sent[(int) s.engine() - 50][span] += work;
                         }
                     }
                 }
                 r.after(1000, new Timer(1));
             }
         }
-        double falls = 2 * 0.3 * 0.85 * 8 * 1000, all = 0;
+        double falls = new Rig().falls(), all = 0;
         for (double[] spans : sent) {
             for (double work : spans) {
                 assertTrue(work <= falls, "sent " + work + " where " + falls + " make it fall");
@@ -239,7 +231,7 @@
             r.routers = 5;
             r.classes.add(Rig.safe("light", 1000, 1));
             r.classes.add(wide("long", 2));
-            r.start(java.util.stream.LongStream.range(10, 22).mapToObj(Rig::ready).toArray(Engine[]::new));
+            r.start(Rig.readyFrom(10, 12).toArray(new Engine[0]));
             Map<Long, List<Long>> at = new TreeMap<>();
             for (int i = 1; i <= 120; i++) {
                 Rig.sends(r.tell(query(i, 0, 100, 0))).forEach(s -> at.computeIfAbsent(s.engine(),
--- a/decision/src/test/java/quincespar/decision/Rig.java
+++ b/decision/src/test/java/quincespar/decision/Rig.java
@@ -51,6 +51,15 @@
         return engine(id, 0, 0, EngineState.READY, 0);
     }
 
+    static List<Engine> readyFrom(long first, int count) {
+        return java.util.stream.LongStream.range(first, first + count).mapToObj(Rig::ready).toList();
+    }
+
+    /** The work that makes a cold engine of eight cores fall within {@code rules.fall}, at its least capacity. */
+    double falls() {
+        return rules.fallMultiple() * rules.coldShare() * 0.85 * 8 * rules.fall();
+    }
+
     Settings settings() {
         Fleet fleet = new Fleet(List.of(8.0), List.of(16384.0), 0.5, false, false, Shortage.CUT, 0, true, reports);
         return new Settings(routers, me, 0, classes, List.of(), 1, ask, true, 0.02, 0.05, 0.01, 5, limits, rules, fleet);
--- a/decision/src/test/java/quincespar/decision/RulesTest.java
+++ b/decision/src/test/java/quincespar/decision/RulesTest.java
@@ -219,7 +219,7 @@
                 }
             }
         }
-        double falls = 2 * 0.3 * 0.85 * 8 * 1000; // what the rule allows in a span at the least capacity
+        double falls = new Rig().falls(); // what the rule allows in a span at the least capacity
         for (int span = 0; span < 5; span++) {
             assertTrue(sentIn[span] > 0, "not idle in span " + span);
             assertTrue(sentIn[span] + (span > 0 ? sentIn[span - 1] : 0) <= falls, "lawful over two turns");
--- a/frontend/src/main/java/quincespar/routing/Reducer.java
+++ b/frontend/src/main/java/quincespar/routing/Reducer.java
@@ -171,8 +171,7 @@
             if (down != null && !down.up) {
                 tally.engine(down.engine.listed.id(), "refused");
             }
-            spoilt |= x.cause().startsWith(MALFORMED);
-            linkDown(down);
+            linkDown(down, x.cause());
         } else if (i instanceof Input.Withdrawn x) {
             left(x.caller());
         } else if (i instanceof Input.CallerGone x) {
@@ -559,7 +558,8 @@
     }
 
     /** Each attempt ends by its proof: nothing written never ran, all else may have run. */
-    private void linkDown(Link l) {
+    private void linkDown(Link l, String why) {
+        spoilt |= why.startsWith(MALFORMED);
         if (l == null) {
             return;
         }
@@ -581,9 +581,8 @@
         if (!l.up) {
             tally.engine(l.engine.listed.id(), "unreached");
         }
-        spoilt |= why.startsWith(MALFORMED);
         effects.add(new Effect.CloseLink(l.id, why));
-        linkDown(l);
+        linkDown(l, why);
     }
 
     /** A link with nothing open waits for the next send for a while, or closes where none will come. */
