Add the second address with status and figures, and let two processes share the clients' address

Need: operators ask at a second address whether a process is ready and fetch its figures; without a yes an upgrade never reaches its SIGTERM.

Change: program.StatusAddress on an event loop of its own, protocol.http.RequestDecoder, package metrics (Ledger counted by the reducer where a request gets its final answer and where an attempt has been written whole, immutable Figures, Exposition as text). Lifecycle.ready is the one source for /status and health. Listener sets SO_REUSEPORT; the clients' address is bound last, after the warm-up: bound early, a second process is handed half of the new connections by the system and they wait unread until it serves. Told to stop before it serves, the program ends at once.

Ruled out: binding early with a backlog, for the reason above; a file of shared state, as nothing has to be known for this.

--- a/decision/src/main/java/quincespar/decision/Gateway.java
+++ b/decision/src/main/java/quincespar/decision/Gateway.java
@@ -12,6 +12,11 @@
     /** Takes what happened by {@code now}, in order, and answers what is to be done at that time. */
     List<Action> decide(double now, List<Event> events);
 
+    /** How many of the listed engines that would take work get none, or a trial only, after the last decision. */
+    default int avoided() {
+        return 0;
+    }
+
     /** Whether a request may run more than once: at will, where repeats are dropped, or never. */
     enum Effect { SAFE, KEYED, UNSAFE }
 
--- /dev/null
+++ b/frontend/src/main/java/quincespar/metrics/Figures.java
@@ -0,0 +1,24 @@
+package quincespar.metrics;
+
+import java.util.Map;
+
+/**
+ * What the front end reports of itself, as it stood at one moment. Immutable, so that it may be read on any thread.
+ *
+ * @param transactions requests that got their final answer, by class; a class that was dropped keeps its row
+ * @param sends        attempts written whole to engines
+ * @param current      requests taken and not ended
+ * @param engines      engines in the list
+ * @param avoided      listed engines that get no new work now
+ * @param confLoaded   configurations taken at SIGHUP
+ * @param confInvalid  configurations turned down at SIGHUP
+ */
+public record Figures(Map<String, Row> transactions, long sends, int current, int engines, int avoided,
+        long confLoaded, long confInvalid) {
+
+    /** Before anything has been counted. */
+    public static final Figures NONE = new Figures(Map.of(), 0, 0, 0, 0, 0, 0);
+
+    /** Final answers to one class's requests: served, refused and failed. */
+    public record Row(long answered, long deferred, long errored) { }
+}
--- a/frontend/src/main/java/quincespar/program/Configuration.java
+++ b/frontend/src/main/java/quincespar/program/Configuration.java
@@ -15,8 +15,8 @@
 import quincespar.settings.Keyword;
 import quincespar.settings.Settings;
 
-/** What the front end is told at its start. */
-record Configuration(String name, InetSocketAddress listen, String changeLog, long seed, int sockets,
+/** What the front end is told at its start; {@code admin} is the second address, null where there is none. */
+record Configuration(String name, InetSocketAddress listen, InetSocketAddress admin, String changeLog, long seed, int sockets,
         int memoryMb, Site site, ChangeLogCodec.Changes known) {
 
     private static final int SOCKETS = 256;
@@ -50,10 +50,12 @@
     private static Configuration read(Map<String, Object> all, Map<String, String> environment) {
         Map<String, Object> limits = all.get("limits") == null ? Map.of() : Json.object(all.get("limits"), "limits");
         String listen = environment.getOrDefault("GW_LISTEN", String.valueOf(all.get("listen")));
+        String admin = environment.getOrDefault("GW_ADMIN_ADDR",
+                all.get("admin_addr") == null ? "" : Json.text(all.get("admin_addr"), "admin_addr"));
         String changeLog = Json.text(all.get("changelog"), "changelog");
         address(changeLog); // complains where it is none
         return new Configuration(environment.getOrDefault("GW_NAME", String.valueOf(all.get("name"))),
-                address(listen), changeLog,
+                address(listen), admin.isEmpty() ? null : address(admin), changeLog,
                 Long.parseUnsignedLong(Json.text(all.get("seed"), "seed"), 16),
                 limit(limits, "sockets", SOCKETS), limit(limits, "memory_mb", MEMORY_MB),
                 Site.of(Json.pairs(Json.object(all.get("settings"), "settings"))),
--- a/frontend/src/main/java/quincespar/program/EngineLinks.java
+++ b/frontend/src/main/java/quincespar/program/EngineLinks.java
@@ -62,7 +62,8 @@
     }
 
     void send(Effect.Send e) {
-        send(e.link(), EngineCodec.serve(e.txn(), e.queue(), e.budgetMs(), e.statement()), e.passage(), null);
+        send(e.link(), EngineCodec.serve(e.txn(), e.queue(), e.budgetMs(), e.statement()), e.passage(),
+                () -> post.accept(new Input.SendWritten(e.key())));
     }
 
     void cancel(Effect.Cancel e) {
--- a/frontend/src/main/java/quincespar/program/FrontEnd.java
+++ b/frontend/src/main/java/quincespar/program/FrontEnd.java
@@ -8,6 +8,8 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import quincespar.decision.Brain;
+import quincespar.metrics.Exposition;
+import quincespar.metrics.Figures;
 import quincespar.program.Lifecycle.Phase;
 import quincespar.routing.Bounds;
 import quincespar.routing.Effect;
@@ -43,6 +45,9 @@
     private final EventLoop clientLoop = new EventLoop("clients");
     private final EventLoop engineLoop = new EventLoop("engines");
     private final Listener listener;
+    private final StatusAddress status;
+    /** The last that the reducer's thread has published, for whoever reads it. */
+    private volatile Figures figures = Figures.NONE;
     private final ThriftFront front;
     private final EngineLinks engines;
     private final ChangeLog changes;
@@ -55,6 +60,12 @@
         configuration = c;
         bounds = c.bounds(settings);
         reducer = new Reducer(c.site(), bounds, new Brain(c.site().module(), c.seed()));
+        if (c.admin() != null) { // first, so that its "not ready" is heard while the rest starts
+            status = new StatusAddress(c.admin(), timers, lifecycle::ready, () -> Exposition.text(figures));
+            status.start();
+        } else {
+            status = null;
+        }
         listener = new Listener(clientLoop, c.listen());
         front = new ThriftFront(clientLoop, listener, c.site(), (int) (c.sockets() * CLIENT_SHARE), clock, counters,
                 inputs::addFromPeer, this::report);
@@ -62,26 +73,50 @@
         changes = new ChangeLog(engineLoop, inputs::addFromPeer);
     }
 
-    /** Serves until told to stop and all that was taken is answered. */
-    void run() throws InterruptedException {
+    /** Serves until told to stop and all that was taken is answered; throws where the address can't be bound. */
+    void run() throws IOException, InterruptedException {
+        try {
+            start();
+            while (lifecycle.phase() != Phase.STOPPED) {
+                step(inputs.take());
+                if (lifecycle.phase() == Phase.FINISHING && reducer.open() == 0 && inputs.size() == 0) {
+                    stop();
+                }
+            }
+        } finally {
+            lifecycle.enter(Phase.STOPPED); // whoever waits for the end must not wait for good
+        }
+    }
+
+    private void start() throws IOException {
         new Warmup(configuration, bounds, front).run();
         engineLoop.start();
         perform(reducer.start(clock.now(), configuration.changeLog(), configuration.known().events()));
+        publish();
+        if (lifecycle.phase() != Phase.STARTING) {
+            return; // told to stop meanwhile
+        }
+        try {
+            listener.bind(); // last: from here on clients connect, and wait
+        } catch (IOException | RuntimeException e) {
+            throw new IOException("listen " + configuration.listen() + ": " + e.getMessage(), e);
+        }
         front.start();
         clientLoop.start();
         lifecycle.enter(Phase.SERVING);
         log.info("{}: serving on {}", configuration.name(), configuration.listen());
-        while (lifecycle.phase() != Phase.STOPPED) {
-            step(inputs.take());
-            if (lifecycle.phase() == Phase.FINISHING && reducer.open() == 0 && inputs.size() == 0) {
-                stop();
-            }
+    }
+
+    private void publish() {
+        lifecycle.listed(reducer.canServe());
+        if (status != null) {
+            figures = reducer.figures();
         }
     }
 
     /** Asks for an orderly end and waits for it; called from another thread. */
     void leave() throws InterruptedException {
-        if (lifecycle.enter(Phase.LEAVING)) {
+        if (lifecycle.leave() && lifecycle.phase() == Phase.LEAVING) {
             front.leave();
             timers.after(LEAVING_MS, () -> {
                 listener.close(() -> lifecycle.enter(Phase.SETTLING));
@@ -131,6 +166,7 @@
             batch.forEach(counters::taken);
             double from = clock.now();
             perform(reducer.step(from, batch));
+            publish();
             long us = Math.round(1000 * (clock.now() - from));
             stepUs.addAndGet(us);
             longestStepUs.accumulateAndGet(us, Math::max);
@@ -175,7 +211,7 @@
         } else if (effect instanceof Effect.CloseLink e) {
             engines.close(e);
         } else if (effect instanceof Effect.AnswerHealth e) {
-            front.health(e.caller(), e.canServe() && lifecycle.phase() == Phase.SERVING);
+            front.health(e.caller(), lifecycle.ready());
         } else if (effect instanceof Effect.Probe e) {
             engines.probe(e);
         } else if (effect instanceof Effect.Poll e) {
--- a/frontend/src/main/java/quincespar/program/Lifecycle.java
+++ b/frontend/src/main/java/quincespar/program/Lifecycle.java
@@ -19,11 +19,22 @@
     }
 
     private Phase phase = Phase.STARTING;
+    private boolean listed;
 
     synchronized Phase phase() {
         return phase;
     }
 
+    /** Whether an engine is listed that takes work. */
+    synchronized void listed(boolean some) {
+        listed = some;
+    }
+
+    /** Whether this process is ready to serve clients: the one source of that, whoever asks. */
+    synchronized boolean ready() {
+        return phase == Phase.SERVING && listed;
+    }
+
     /** Goes on to a later phase; false where it is that far already. */
     synchronized boolean enter(Phase next) {
         if (next.compareTo(phase) <= 0) {
@@ -34,6 +45,11 @@
         return true;
     }
 
+    /** Word to stop: before it serves, nothing has been taken and it ends at once. True for the first such word. */
+    synchronized boolean leave() {
+        return enter(phase == Phase.STARTING ? Phase.STOPPED : Phase.LEAVING);
+    }
+
     synchronized void await(Phase wanted) throws InterruptedException {
         while (phase.compareTo(wanted) < 0) {
             wait();
--- /dev/null
+++ b/frontend/src/main/java/quincespar/program/StatusAddress.java
@@ -0,0 +1,153 @@
+package quincespar.program;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.Future;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+import quincespar.metrics.Exposition;
+import quincespar.protocol.http.RequestDecoder;
+import quincespar.protocol.http.RequestDecoder.Request;
+import quincespar.transport.Connection;
+import quincespar.transport.EventLoop;
+import quincespar.transport.Listener;
+import quincespar.transport.OutboxBound;
+
+/**
+ * The second address, for operators: HTTP/1.1 with one call to a connection, on a loop of its own. It reads what has
+ * been published and waits for neither the reducer nor the other loops, so that a caller has its answer within a
+ * second however busy those are. Callers that finish no call, or do not read, hold up nobody: each has a
+ * while, and the one that has waited longest makes room.
+ */
+final class StatusAddress implements Listener.Taker {
+    /** Callers at a time; so many descriptors at the most. */
+    private static final int MOST = 24;
+    /** How long a call may take, from the connect to its last byte. */
+    private static final double LONGEST_MS = 5000;
+    private static final int OUTBOX = 256 * 1024;
+
+    private final Set<Call> calls = new LinkedHashSet<>(); // the longest there first
+    private final OutboxBound bound = new OutboxBound(OUTBOX, (long) MOST * OUTBOX);
+    private final EventLoop loop;
+    private final Listener listener;
+    private final Timers timers;
+    private final BooleanSupplier ready;
+    private final Supplier<String> metrics;
+
+    /** Binds the address; throws {@link IOException} where it can't be. */
+    StatusAddress(InetSocketAddress address, Timers timers, BooleanSupplier ready, Supplier<String> metrics)
+            throws IOException {
+        this.timers = timers;
+        this.ready = ready;
+        this.metrics = metrics;
+        loop = new EventLoop("status");
+        listener = new Listener(loop, address);
+        try {
+            listener.bind();
+        } catch (IOException | RuntimeException e) {
+            throw new IOException("admin_addr " + address.getHostString() + ":" + address.getPort() + ": "
+                    + e.getMessage(), e);
+        }
+    }
+
+    void start() {
+        listener.start(this);
+        loop.start();
+    }
+
+    @Override
+    public boolean room() {
+        return true;
+    }
+
+    @Override
+    public void take(SocketChannel channel) {
+        if (calls.size() >= MOST) {
+            calls.iterator().next().connection.close("its place is needed");
+        }
+        Call call = new Call(Connection.accepted(loop, channel, "status", bound));
+        calls.add(call);
+        call.connection.start(call);
+    }
+
+    private static String words(int status) {
+        return switch (status) {
+            case 200 -> "OK";
+            case 400 -> "Bad Request";
+            case 404 -> "Not Found";
+            case 405 -> "Method Not Allowed";
+            case 431 -> "Request Header Fields Too Large";
+            default -> "Service Unavailable";
+        };
+    }
+
+    /** An answer as it goes out; {@code body} is left out for HEAD, which is told its length all the same. */
+    private static byte[] answer(int status, String type, String body, boolean head) {
+        byte[] text = body.getBytes(StandardCharsets.UTF_8);
+        return ("HTTP/1.1 " + status + " " + words(status) + "\r\nContent-Type: " + type + "\r\nContent-Length: "
+                + text.length + "\r\nCache-Control: no-store\r\n" + (status == 405 ? "Allow: GET, HEAD\r\n" : "")
+                + "Connection: close\r\n\r\n" + (head ? "" : body)).getBytes(StandardCharsets.UTF_8);
+    }
+
+    private byte[] answer(Request r) {
+        boolean head = r.method().equals("HEAD");
+        boolean known = r.path().equals("/status") || r.path().equals("/status/metrics");
+        if (!known) {
+            return plain(404, head);
+        }
+        if (!head && !r.method().equals("GET")) {
+            return plain(405, false);
+        }
+        if (r.path().equals("/status/metrics")) {
+            return answer(200, Exposition.CONTENT_TYPE, metrics.get(), head);
+        }
+        boolean yes = ready.getAsBoolean();
+        return answer(yes ? 200 : 503, "text/plain; charset=utf-8", yes ? "ready\n" : "not ready\n", head);
+    }
+
+    private static byte[] plain(int status, boolean head) {
+        return answer(status, "text/plain; charset=utf-8", words(status) + "\n", head);
+    }
+
+    private final class Call implements Connection.Handler {
+        private final Connection connection;
+        private final RequestDecoder decoder = new RequestDecoder();
+        private final Future<?> end;
+        private boolean answered;
+
+        Call(Connection connection) {
+            this.connection = connection;
+            end = timers.after(LONGEST_MS, () -> connection.close("no call in time"));
+        }
+
+        @Override
+        public void received(byte[] bytes, int count) {
+            if (answered) {
+                return; // a body, or a further call: there is one to a connection
+            }
+            try {
+                Optional<Request> request = decoder.feed(bytes, count);
+                request.ifPresent(r -> end(answer(r)));
+            } catch (RequestDecoder.RefusedException e) {
+                end(plain(e.status(), false));
+            }
+        }
+
+        private void end(byte[] answer) {
+            answered = true;
+            connection.send(answer);
+            connection.finish();
+        }
+
+        @Override
+        public void closed(String cause) {
+            end.cancel(false);
+            calls.remove(this);
+        }
+    }
+}
--- a/frontend/src/main/java/quincespar/program/Timers.java
+++ b/frontend/src/main/java/quincespar/program/Timers.java
@@ -46,8 +46,8 @@
         return running.size();
     }
 
-    /** Runs a step of the program's own after a delay. */
-    void after(double delayMs, Runnable step) {
-        executor.schedule(step, (long) delayMs, TimeUnit.MILLISECONDS);
+    /** Runs a step of the program's own after a delay; it may be cancelled until then. */
+    Future<?> after(double delayMs, Runnable step) {
+        return executor.schedule(step, (long) delayMs, TimeUnit.MILLISECONDS);
     }
 }
--- a/frontend/src/main/java/quincespar/routing/Effect.java
+++ b/frontend/src/main/java/quincespar/routing/Effect.java
@@ -8,7 +8,7 @@
     record Answer(Caller caller, Reply reply) implements Effect { }
 
     /** Say whether requests can be served. */
-    record AnswerHealth(Caller caller, boolean canServe) implements Effect { }
+    record AnswerHealth(Caller caller) implements Effect { }
 
     /** Close a client's connection, unless something has come on it that the reducer has not seen yet. */
     record CloseCaller(long connection, String why) implements Effect { }
--- a/frontend/src/main/java/quincespar/routing/Fleet.java
+++ b/frontend/src/main/java/quincespar/routing/Fleet.java
@@ -51,6 +51,15 @@
         return engines.values().stream().anyMatch(Engine::ready);
     }
 
+    /** How many engines are in the list: up or draining. */
+    int listed() {
+        int n = 0;
+        for (Engine e : engines.values()) {
+            n += e.listed.phase() == Phase.REMOVED ? 0 : 1;
+        }
+        return n;
+    }
+
     /** Takes one event of the change log and whom it leaves out, and words it for the module. */
     Gateway.Listed take(FleetEvent event, List<FleetEvent.Member> removed) {
         Gateway.ListKind kind = !event.complete() ? Gateway.ListKind.DELTA
--- a/frontend/src/main/java/quincespar/routing/Input.java
+++ b/frontend/src/main/java/quincespar/routing/Input.java
@@ -35,6 +35,9 @@
     /** An engine's message has begun and not ended, or has ended. */
     record Midway(long link, boolean unfinished) implements Input { }
 
+    /** An attempt has been written whole. */
+    record SendWritten(AttemptKey key) implements Input { }
+
     /** The cancel of an attempt has been written. */
     record CancelWritten(AttemptKey key) implements Input { }
 
--- a/frontend/src/main/java/quincespar/routing/Reducer.java
+++ b/frontend/src/main/java/quincespar/routing/Reducer.java
@@ -10,6 +10,8 @@
 import quincespar.decision.Gateway.Event;
 import quincespar.decision.Gateway.Outcome;
 import quincespar.membership.Membership;
+import quincespar.metrics.Figures;
+import quincespar.metrics.Ledger;
 import quincespar.protocol.FleetEvent;
 
 /**
@@ -42,6 +44,7 @@
     private final Map<String, OpenRequest> names = new HashMap<>();
     private final Fronts fronts = new Fronts();
     private final Tally tally = new Tally();
+    private final Ledger ledger = new Ledger();
     /** How the cause of a link's end begins where what the engine said made no sense. */
     private static final String MALFORMED = "malformed: ";
     /** Whether an engine's answer has ever come spoilt: it may again. */
@@ -62,6 +65,7 @@
         this.bounds = bounds;
         this.gateway = gateway;
         fleet = new Fleet(site);
+        ledger.classes(site.module().classes().stream().map(Gateway.ClassSpec::name).toList());
         membership = new Membership(bounds.changes());
     }
 
@@ -90,6 +94,16 @@
         return callers.size();
     }
 
+    /** Whether an engine is listed that takes work. */
+    public boolean canServe() {
+        return fleet.canServe();
+    }
+
+    /** What is reported of the front end, as it stands after the last step. */
+    public Figures figures() {
+        return ledger.figures(callers.size(), fleet.listed(), gateway.avoided());
+    }
+
     /** Milliseconds since the change log last answered whole. */
     public double listAge(double time) {
         return membership.age(time);
@@ -159,6 +173,8 @@
             said(x);
         } else if (i instanceof Input.TimerFired x) {
             fired(x.key());
+        } else if (i instanceof Input.SendWritten) {
+            ledger.sent();
         } else if (i instanceof Input.CancelWritten x) {
             Attempt a = attempt(x.key());
             if (a != null && a.outcome == null && a.givenUp != null) {
@@ -187,7 +203,7 @@
                 effects.add(new Effect.StopTimer(new TimerKey.Midway(x.link())));
             }
         } else if (i instanceof Input.HealthAsked x) {
-            effects.add(new Effect.AnswerHealth(x.caller(), fleet.canServe()));
+            effects.add(new Effect.AnswerHealth(x.caller()));
         } else if (i instanceof Input.Changes x) {
             follow(membership.answered(now, x.serial(), x.seq(), x.events()));
         } else if (i instanceof Input.ChangesFailed x) {
@@ -196,9 +212,11 @@
             reread = ++serial;
             effects.add(new Effect.Reread(reread));
         } else if (i instanceof Input.Reconfigured x && x.serial() == reread) {
+            ledger.loaded();
             // requests, links and the fleet stay as they are; the file may be replaced again soon, the last one counts
             follow(membership.moved(now, x.changeLog()));
         } else if (i instanceof Input.ReconfigureFailed x && x.serial() == reread) {
+            ledger.invalid();
             effects.add(new Effect.Log("the configuration stays as it was: " + x.cause()));
         }
     }
@@ -231,11 +249,11 @@
         Query q = x.query();
         if (callers.containsKey(x.caller()) || names.containsKey(q.txn())) {
             // an engine would take the one for the other, and so might we take its answer
-            effects.add(new Effect.Answer(x.caller(), new Reply.Failed()));
+            tell(x.caller(), q.cls(), new Reply.Failed());
             return;
         }
         if (callers.size() >= bounds.requests()) { // before it is known to anyone: it never ran
-            effects.add(new Effect.Answer(x.caller(), new Reply.Refused(0)));
+            tell(x.caller(), q.cls(), new Reply.Refused(0));
             return;
         }
         double margin = Math.min(MARGIN, q.limitMs() / 10);
@@ -261,11 +279,18 @@
     /** Exactly one final answer: a request that is over gets none. */
     private void answer(OpenRequest r, Reply reply) {
         if (r != null && !r.over) {
-            effects.add(new Effect.Answer(r.caller, reply));
+            tell(r.caller, r.query.cls(), reply);
             close(r);
         }
     }
 
+    /** The one place where a request gets its final answer. */
+    private void tell(Caller caller, int cls, Reply reply) {
+        ledger.ended(cls, reply instanceof Reply.Served ? Ledger.End.ANSWERED
+                : reply instanceof Reply.Refused ? Ledger.End.DEFERRED : Ledger.End.ERRORED);
+        effects.add(new Effect.Answer(caller, reply));
+    }
+
     private void close(OpenRequest r) {
         r.over = true;
         callers.remove(r.caller);
--- a/frontend/src/main/java/quincespar/transport/Listener.java
+++ b/frontend/src/main/java/quincespar/transport/Listener.java
@@ -27,6 +27,7 @@
     private static final long PAUSE_MS = 20;
 
     private final EventLoop loop;
+    private final InetSocketAddress address;
     private final ServerSocketChannel channel;
     private final EventLoop.Ready ready = new EventLoop.Ready() {
         @Override
@@ -42,13 +43,27 @@
     private SelectionKey key;
     private Taker taker;
 
-    /** Binds the address; nothing is accepted before {@link #start}. */
+    /** A listener for an address, not yet bound. */
     public Listener(EventLoop loop, InetSocketAddress address) throws IOException {
         this.loop = loop;
+        this.address = address;
         channel = ServerSocketChannel.open();
+        channel.configureBlocking(false);
         channel.setOption(StandardSocketOptions.SO_REUSEADDR, true); // a planned restart binds it again at once
+        try {
+            channel.setOption(StandardSocketOptions.SO_REUSEPORT, true);
+        } catch (IOException | UnsupportedOperationException e) { // then the address can't be shared, all else goes on
+            log.info("listener: {} will not be shared: {}", address, e.getMessage());
+        }
+    }
+
+    /**
+     * Binds the address. From here on the system takes connections and they wait: another process that shares the
+     * address gets no more than its part, so this is done only when all is ready. Nothing is accepted before
+     * {@link #start}. Throws {@link IOException} where the address can't be bound.
+     */
+    public void bind() throws IOException {
         channel.bind(address, BACKLOG);
-        channel.configureBlocking(false);
     }
 
     /** The port that is bound. */
--- /dev/null
+++ b/frontend/src/test/java/quincespar/metrics/FiguresTest.java
@@ -0,0 +1,58 @@
+package quincespar.metrics;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class FiguresTest {
+    private final Ledger ledger = new Ledger();
+
+    @Test
+    void everyClassHasItsRowsFromZeroOnAndADroppedOneKeepsThem() {
+        ledger.classes(List.of("lookup", "load"));
+        assertThat(ledger.figures(0, 0, 0).transactions()).containsOnlyKeys("lookup", "load");
+        ledger.ended(0, Ledger.End.ANSWERED);
+        ledger.ended(1, Ledger.End.DEFERRED);
+        ledger.classes(List.of("lookup", "load", "report"));
+        ledger.ended(1, Ledger.End.ERRORED);
+        assertThat(ledger.figures(0, 0, 0).transactions()).containsEntry("lookup", new Figures.Row(1, 0, 0))
+                .containsEntry("load", new Figures.Row(0, 1, 1)).containsEntry("report", new Figures.Row(0, 0, 0));
+    }
+
+    @Test
+    void aViewDoesNotChangeWithWhatIsCountedLater() {
+        ledger.classes(List.of("lookup"));
+        Figures before = ledger.figures(1, 2, 1);
+        ledger.ended(0, Ledger.End.ANSWERED);
+        ledger.sent();
+        assertThat(before.transactions().get("lookup")).isEqualTo(new Figures.Row(0, 0, 0));
+        assertThat(before.sends()).isZero();
+    }
+
+    @Test
+    void theTextHasEachMetricWithHelpAndTypeAndEscapedLabels() {
+        ledger.classes(List.of("a\"b\\c\nd"));
+        ledger.ended(0, Ledger.End.ERRORED);
+        ledger.sent();
+        ledger.loaded();
+        ledger.invalid();
+        ledger.invalid();
+        assertThat(Exposition.text(ledger.figures(14, 6, 2)).lines()).containsExactly(
+                "# HELP gw_transactions_total Requests that got their final answer, by class: served, refused, failed.",
+                "# TYPE gw_transactions_total counter",
+                "gw_transactions_total{group=\"a\\\"b\\\\c\\nd\",state=\"answered\"} 0",
+                "gw_transactions_total{group=\"a\\\"b\\\\c\\nd\",state=\"deferred\"} 0",
+                "gw_transactions_total{group=\"a\\\"b\\\\c\\nd\",state=\"errored\"} 1",
+                "# HELP gw_sends_total Attempts written whole to engines.", "# TYPE gw_sends_total counter",
+                "gw_sends_total 1",
+                "# HELP gw_current Requests taken and not ended.", "# TYPE gw_current gauge", "gw_current 14",
+                "# HELP gw_cluster_size Engines in the list.", "# TYPE gw_cluster_size gauge", "gw_cluster_size 6",
+                "# HELP gw_cluster_unhealthy Listed engines that the front end now avoids.",
+                "# TYPE gw_cluster_unhealthy gauge", "gw_cluster_unhealthy 2",
+                "# HELP gw_conf_loaded_total Configurations taken at SIGHUP.", "# TYPE gw_conf_loaded_total counter",
+                "gw_conf_loaded_total 1",
+                "# HELP gw_conf_invalid_total Configurations turned down at SIGHUP.",
+                "# TYPE gw_conf_invalid_total counter", "gw_conf_invalid_total 2");
+    }
+}
--- a/frontend/src/test/java/quincespar/program/Peers.java
+++ b/frontend/src/test/java/quincespar/program/Peers.java
@@ -23,6 +23,26 @@
 final class Peers {
     private Peers() { }
 
+    /** A port that nothing listens at now. */
+    static int freePort() throws IOException {
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return free.getLocalPort();
+        }
+    }
+
+    /** Waits until the front end there says that it can serve; it binds its address only then. */
+    static void untilHealthy(int port) {
+        while (true) {
+            try (Client c = new Client(port)) {
+                if (c.healthy()) {
+                    return;
+                }
+            } catch (IOException e) { // not yet bound
+                Thread.onSpinWait();
+            }
+        }
+    }
+
     /** What a scripted peer does with one connection. */
     interface Script {
         void play(Socket socket) throws IOException;
--- a/frontend/src/test/java/quincespar/program/RestartTest.java
+++ b/frontend/src/test/java/quincespar/program/RestartTest.java
@@ -5,7 +5,6 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -41,10 +40,7 @@
     void noRequestIsLostInARestartAmidASilentCrowd(@TempDir Path folder) throws Exception {
         Peers.Engine engine = new Peers.Engine();
         Peers.Changes changes = new Peers.Changes();
-        int port;
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            port = free.getLocalPort();
-        }
+        int port = Peers.freePort();
         Path file = Files.writeString(folder.resolve("config.json"), """
             {"name":"n1","listen":"127.0.0.1:%d","seed":"1","limits":{"sockets":384,"memory_mb":144},
              "changelog":"127.0.0.1:%d","known":{"seq":1,"results":[{"seq":1,"fleet":{"revision":1,"complete":true,
@@ -65,11 +61,7 @@
             return null;
         });
         pool.submit(() -> serveAll(engine));
-        try (Peers.Client c = new Peers.Client(port)) {
-            while (!c.healthy()) {
-                Thread.onSpinWait();
-            }
-        }
+        Peers.untilHealthy(port);
         List<Socket> crowd = new ArrayList<>();
         Future<?> crowding = pool.submit(() -> crowd(port, crowd));
         List<Future<?>> clients = new ArrayList<>();
--- /dev/null
+++ b/frontend/src/test/java/quincespar/program/StatusAddressTest.java
@@ -0,0 +1,123 @@
+package quincespar.program;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** The second address over loopback, with nothing behind it: what callers of every kind get. */
+@Timeout(60)
+class StatusAddressTest {
+    private final AtomicBoolean ready = new AtomicBoolean();
+    private int port;
+
+    @BeforeEach
+    void start() throws IOException {
+        port = Peers.freePort();
+        new StatusAddress(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), new Timers(i -> { }), ready::get,
+                () -> "gw_current 3\n").start();
+    }
+
+    private Socket connect() throws IOException {
+        Socket s = new Socket(InetAddress.getLoopbackAddress(), port);
+        s.setSoTimeout(10_000);
+        return s;
+    }
+
+    /** All that comes back until the end. */
+    private String call(String text) throws IOException {
+        try (Socket s = connect()) {
+            s.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+            return new String(s.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        }
+    }
+
+    private static String get(String path) {
+        return "GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n";
+    }
+
+    @Test
+    void theStatusFollowsReadiness() throws IOException {
+        assertThat(call(get("/status"))).startsWith("HTTP/1.1 503 ");
+        ready.set(true);
+        assertThat(call(get("/status"))).startsWith("HTTP/1.1 200 OK\r\n").contains("Connection: close\r\n")
+                .endsWith("\r\n\r\nready\n");
+        assertThat(call("HEAD /status HTTP/1.1\r\n\r\n")).contains("Content-Length: 6\r\n").endsWith("\r\n\r\n");
+    }
+
+    @Test
+    void theFiguresComeWithTheirContentType() throws IOException {
+        assertThat(call(get("/status/metrics"))).startsWith("HTTP/1.1 200 ").contains("Content-Length: 13\r\n",
+                "Content-Type: text/plain; version=0.0.4; charset=utf-8\r\n").endsWith("\r\n\r\ngw_current 3\n");
+    }
+
+    @Test
+    void whatCannotBeAnsweredIsToldSo() throws IOException {
+        assertThat(call("\u0016\u0003\u0001\n\n")).startsWith("HTTP/1.1 400 ");
+        assertThat(call(get("/else"))).startsWith("HTTP/1.1 404 ");
+        assertThat(call("POST /status HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc")).startsWith("HTTP/1.1 405 ")
+                .contains("\r\nAllow: GET, HEAD\r\n");
+        assertThat(call("GET /" + "x".repeat(9000))).startsWith("HTTP/1.1 431 ");
+        ready.set(true);
+        assertThat(call(get("/status") + get("/status"))).containsOnlyOnce("HTTP/1.1 200 ");
+    }
+
+    /** Those that connect and say nothing, or half a head, keep no one else out, even where they are many. */
+    @Test
+    void callersThatFinishNoCallHoldUpNobody() throws IOException {
+        List<Socket> dawdling = new ArrayList<>();
+        for (int i = 0; i < 100; i++) {
+            Socket s = connect();
+            s.getOutputStream().write("GET /sta".getBytes(StandardCharsets.ISO_8859_1));
+            dawdling.add(s);
+            assertThat(call(get("/status/metrics"))).startsWith("HTTP/1.1 200 ");
+        }
+        int closed = 0;
+        for (Socket s : dawdling.subList(0, 70)) { // these had to make room
+            closed += ended(s) ? 1 : 0;
+        }
+        assertThat(closed).isEqualTo(70);
+        Socket half = dawdling.get(99); // one that is there still may finish its call
+        half.getOutputStream().write("tus/metrics HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
+        assertThat(new String(half.getInputStream().readAllBytes(), StandardCharsets.UTF_8)).startsWith("HTTP/1.1 200 ");
+        for (Socket s : dawdling) {
+            s.close();
+        }
+    }
+
+    private static boolean ended(Socket s) {
+        try {
+            return s.getInputStream().read() < 0;
+        } catch (IOException e) {
+            return true;
+        }
+    }
+
+    @Test
+    void aCallerThatNeverFinishesIsClosedInTime() throws IOException {
+        try (Socket s = connect()) {
+            s.getOutputStream().write('G');
+            assertThat(ended(s)).isTrue();
+        }
+    }
+
+    @Test
+    void anAddressThatCannotBeBoundIsToldInOneLine() throws IOException {
+        try (ServerSocket taken = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            assertThatThrownBy(() -> new StatusAddress(new InetSocketAddress("127.0.0.1",
+                    taken.getLocalPort()), new Timers(i -> { }), ready::get, () -> "")).isInstanceOf(IOException.class)
+                    .hasMessageContaining("admin_addr 127.0.0.1:").message().hasLineCount(1);
+        }
+    }
+}
--- a/frontend/src/test/java/quincespar/program/StoriesTest.java
+++ b/frontend/src/test/java/quincespar/program/StoriesTest.java
@@ -5,8 +5,6 @@
 
 import java.io.EOFException;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -39,9 +37,7 @@
     void start(@TempDir Path folder) throws Exception {
         engine = new Peers.Engine();
         changes = new Peers.Changes();
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            port = free.getLocalPort();
-        }
+        port = Peers.freePort();
         file = folder.resolve("config.json");
         Files.writeString(file, """
             {"name":"n1","listen":"127.0.0.1:%d","seed":"8c1f30d27a5be964","limits":{"sockets":64},
@@ -58,16 +54,12 @@
         running = new Thread(() -> {
             try {
                 frontEnd.run();
-            } catch (InterruptedException e) {
+            } catch (IOException | InterruptedException e) {
                 throw new IllegalStateException(e);
             }
         });
         running.start();
-        try (Peers.Client c = new Peers.Client(port)) {
-            while (!c.healthy()) {
-                Thread.onSpinWait();
-            }
-        }
+        Peers.untilHealthy(port);
     }
 
     /** Last, so that it is a story too: what was taken before the word to stop is answered after it. */
--- a/frontend/src/test/java/quincespar/routing/ReducerTest.java
+++ b/frontend/src/test/java/quincespar/routing/ReducerTest.java
@@ -252,7 +252,8 @@
         step(new Input.TimerFired(new TimerKey.Changes(3)));
         assertThat(of(Effect.Poll.class, effects)).extracting(Effect.Poll::since).containsExactly(1L, 1L);
         step(new Input.HealthAsked(CALLER));
-        assertThat(last(Effect.AnswerHealth.class).canServe()).isTrue();
+        assertThat(last(Effect.AnswerHealth.class).caller()).isEqualTo(CALLER);
+        assertThat(reducer.canServe()).isTrue();
     }
 
     @Test
--- a/frontend/src/test/java/quincespar/transport/ConnectionTest.java
+++ b/frontend/src/test/java/quincespar/transport/ConnectionTest.java
@@ -215,6 +215,7 @@
         List<SocketChannel> taken = new ArrayList<>();
         BlockingQueue<Integer> sizes = new LinkedBlockingQueue<>();
         Listener listener = new Listener(loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        listener.bind();
         listener.start(new Listener.Taker() {
             @Override
             public boolean room() {
