Take other settings at SIGHUP, whole or not at all, with classes known by name

Change: ConfigurationCheck, pure, gives a configuration or all its faults; a key of the file in force must not be lacking, deadlines, aims and attempts must be numbers above 0. Site.following numbers classes and tenants by name for the life of the process. One input swaps all; the module hears Gateway.Configured; open requests keep effect, deadline, attempts and worth (OpenRequest.spec, the module's Query). Fronts read by one Site, replaced whole. SIGHUP is heard from the first line of serve on. The module tells how many listed engines it avoids.

Ruled out: a fixed list of keys that must be there, since it would be ours and not the operators'; a module for each file.

--- a/decision/src/main/java/quincespar/decision/Brain.java
+++ b/decision/src/main/java/quincespar/decision/Brain.java
@@ -61,52 +61,55 @@
     /** An engine's report fades within two seconds: short queries have gone by then. */
     private static final double FADE = 2000;
 
-    private final Settings set;
     private final java.util.Random random;
-    private final Kind[] kinds;
-    private final Type[] types;
+    private Settings set;
+    private Kind[] kinds = {};
+    private Type[] types = {};
     private final Map<Long, Query> queries = new LinkedHashMap<>();
     private final Map<Long, Node> nodes = new LinkedHashMap<>();
     private final Map<Long, KeyLine> lines = new LinkedHashMap<>();
     private final ArrayDeque<Double> furtherAt = new ArrayDeque<>(), takenAt = new ArrayDeque<>();
     private final Map<Integer, Node> tagged = new LinkedHashMap<>();
     private final State.Words words = new State.Words();
-    private final Bucket[] quotas;
-    private final double beat;
+    private Bucket[] quotas = {};
     private final Mean usualLoad = new Mean(MEMORY / 4);
     private final Mean offered = new Mean(3 * MEMORY), told = new Mean(3 * MEMORY);
     private final Mean untold = new Mean(MEMORY / 2);
     private Bound pool;
     private List<Action> out;
     private double reach, now, watchAt, watchWait, tidyAt, timerAt, wordsAt, fleet, warm, startedAt = -1;
+    private double beat, leader, loadTime, lightest, heaviest;
     private long sequence;
     private int open, said;
     private boolean watching, allPooled, stalled, grouped, spoken;
 
     /** Starts one router's module; the seed feeds its only source of chance. */
     public Brain(Settings settings, long seed) {
-        set = settings;
         random = new java.util.Random(seed);
-        int n = set.classes().size();
-        kinds = new Kind[n * 2];
-        types = new Type[n * 2 * 3];
+        adopt(new Configured(settings, List.of()));
+        watchWait = Math.min(1000, set.rules().askEvery() / 8);
+    }
+
+    /** Settings bind from here on. A class keeps its number and what was learned, open queries their terms. */
+    private void adopt(Configured c) {
+        set = c.settings();
+        int known = kinds.length, n = set.classes().size() * 2;
+        kinds = Arrays.copyOf(kinds, n);
+        types = Arrays.copyOf(types, n * 3);
         double least = Double.MAX_VALUE;
-        for (int c = 0; c < n; c++) {
-            ClassSpec spec = set.classes().get(c);
-            least = Math.min(least, spec.aim());
-            for (int band = 0; band < 2; band++) {
-                kinds[c * 2 + band] = new Kind(spec, c, band, MEMORY, 3 * MEMORY, PRIOR);
-                for (int hope = 0; hope < 3; hope++) {
-                    types[(c * 2 + band) * 3 + hope] = new Type(kinds[c * 2 + band], hope);
-                }
+        for (int i = 0; i < n; i++) {
+            ClassSpec spec = set.classes().get(i / 2);
+            kinds[i] = i < known ? kinds[i] : new Kind(i / 2, i % 2, MEMORY, 3 * MEMORY, PRIOR);
+            kinds[i].spec = spec;
+            kinds[i].dropped = c.dropped().contains(i / 2);
+            least = kinds[i].dropped ? least : Math.min(least, spec.aim());
+            for (int hope = 0; hope < 3 && i >= known; hope++) {
+                types[i * 3 + hope] = new Type(kinds[i], hope);
             }
         }
-        quotas = new Bucket[set.tenants().size()];
-        for (int t = 0; t < quotas.length; t++) {
-            quotas[t] = new Bucket(set.tenants().get(t).quotaPerS());
-        }
+        nodes.values().forEach(node -> node.widen(n));
+        quotas = Bucket.follow(quotas, set.tenants());
         beat = Math.max(set.tick(), least / 40); // forty looks within the shortest aim
-        watchWait = Math.min(1000, set.rules().askEvery() / 8);
     }
 
     @Override
@@ -137,6 +140,12 @@
         return out;
     }
 
+    @Override
+    public int avoided() {
+        return (int) nodes.values().stream()
+                .filter(n -> n.shunned() && n.engine.state() == EngineState.READY).count();
+    }
+
     /** Time between looks at what is held: with many routers each holds little, and looks cost the most. */
     private double look() {
         return allPooled ? 2 * beat : beat;
@@ -155,6 +164,8 @@
             close(queries.get(l.id()));
         } else if (e instanceof Told t) {
             words.hear(t, tagged, set, now, STALE);
+        } else if (e instanceof Configured c) {
+            adopt(c);
         } else if (e instanceof Started s && queries.containsKey(s.id())) {
             queries.get(s.id()).streaming = true;
         }
@@ -170,7 +181,7 @@
         if (!Double.isNaN(set.rules().budgetSpan())) {
             takenAt.addLast(now);
         }
-        Query q = new Query(r, set.classes().get(r.cls()), now, sequence++);
+        Query q = new Query(r, set.classes().get(r.cls()), set.limits().maxAttempts(), now, sequence++);
         grouped |= r.tables() != 0; // all 0: nothing is told of tables
         q.tag = State.tag(Float.floatToIntBits((float) r.tables()));
         Kind plain = kinds[r.cls() * 2];
@@ -291,6 +302,7 @@
             return new Bound(set.classes().size(), MEMORY / 4, part);
         }
         pool = pool != null ? pool : new Bound(set.classes().size(), MEMORY / 2, widest);
+        pool.widen(set.classes().size());
         return pool;
     }
 
@@ -416,8 +428,24 @@
 
     // ---- engine choice -----------------------------------------------------------------------------------
 
+    /** What a look takes from all classes: asked for each engine and type it would be worked out anew. */
+    private void survey() {
+        leader = loadTime = 0;
+        lightest = Double.MAX_VALUE;
+        heaviest = 1;
+        for (Kind k : kinds) {
+            if (k.band == 0 && !k.dropped) {
+                leader = Math.max(leader, value(k));
+                loadTime = Math.max(loadTime, k.spec.loads() ? k.times.value(k.spec.aim()) : 0);
+                lightest = Math.min(lightest, usualWork(k));
+                heaviest = Math.max(heaviest, usualWork(k));
+            }
+        }
+    }
+
     /** Sends while some engine has room for some query: the largest index first. */
     private void dispatch() {
+        survey();
         while (true) {
             Node bestNode = null;
             Query bestQuery = null;
@@ -521,9 +549,6 @@
 
     private void terms(Query q) {
         Fleet f = set.fleet();
-        if (!f.takesGrants() && !f.priorities()) {
-            return;
-        }
         int priority = f.priorities() ? priority(q) : 1;
         double memory = 0;
         if (f.takesGrants() && q.request.memory() > 0) {
@@ -546,13 +571,7 @@
     }
 
     private boolean leads(Kind mine) {
-        double least = value(mine);
-        for (int c = 0; c < kinds.length; c += 2) { // asked for each engine and type: no stream here
-            if (value(kinds[c]) > least) {
-                return false;
-            }
-        }
-        return true;
+        return value(mine) >= leader;
     }
 
     private double value(Kind k) {
@@ -625,20 +644,11 @@
 
     /** Whether a load holds the tables of this query on that engine, as far as is known. */
     private boolean held(Query q, Node n) {
-        return (q.spec.loads() || q.spec.waitsForLoads()) && (n.held(q.tag, now - HOLDS * loadTime())
+        return (q.spec.loads() || q.spec.waitsForLoads()) && (n.held(q.tag, now - HOLDS * loadTime)
                 || n.words.stream().anyMatch(w -> w.tag == q.tag)
                 || n.outstanding.stream().anyMatch(a -> a.query.spec.loads() && a.query.tag == q.tag));
     }
 
-    /** How long a load takes, by the class of loads that takes longest. */
-    private double loadTime() {
-        double most = 0;
-        for (int c = 0; c < kinds.length; c += 2) {
-            most = Math.max(most, kinds[c].spec.loads() ? kinds[c].times.value(kinds[c].spec.aim()) : 0);
-        }
-        return most;
-    }
-
     /**
      * Rendezvous hashing: all routers see the engines in one order for each group of tables. Its queries lean
      * to one end, so that engines keep its tables warm for all routers. Where there are loads, only these do,
@@ -671,8 +681,7 @@
         }
         learn(a, e);
         report(a.node, e.load());
-        if (q.line != null && (e.outcome() == Outcome.TIMEOUT || e.outcome() == Outcome.RESET
-                || e.outcome() == Outcome.CANCELLED || e.outcome() == Outcome.ERROR)) {
+        if (q.line != null && a.mayHaveRun() && e.outcome() != Outcome.OK) {
             q.line.rest(q, now + set.rules().settle());
         }
         if (e.over()) {
@@ -686,8 +695,8 @@
     /** After an attempt that did not serve: back into its queue, or the final answer where no try is left. */
     private void again(Query q, Attempt a) {
         q.avoid = a.node;
-        if (a.outcome == Outcome.TIMEOUT && now >= q.deadline - beat || q.sends >= set.limits().maxAttempts()
-                || q.streaming || !repeatable(q, null)) {
+        if (a.outcome == Outcome.TIMEOUT && now >= q.deadline - beat || q.sends >= q.most || q.streaming
+                || !repeatable(q, null)) {
             giveUp(q);
         } else {
             enqueue(q);
@@ -708,10 +717,7 @@
         if (e.outcome() == Outcome.OK || e.outcome() == Outcome.TIMEOUT) {
             double took = Math.max(e.latency(), 0.1);
             k.times.add(now, took);
-            if (n.times[k.index] == null) {
-                n.times[k.index] = new Mean(MEMORY);
-            }
-            n.times[k.index].add(now, took);
+            n.took(k.index, now, took);
         }
         if (e.outcome() == Outcome.OK) {
             served(a, e, k);
@@ -828,8 +834,7 @@
         Query q = a.query;
         boolean useful = now + expected(q) < q.deadline;
         if (a.cancelled || q.over || q.streaming || !set.limits().cancel() || !useful || credit < 1
-                || q.sends >= set.limits().maxAttempts() || q.spec.effect() != Effect.SAFE
-                || !budget(promised())) {
+                || q.sends >= q.most || q.spec.effect() != Effect.SAFE || !budget(promised())) {
             return;
         }
         kinds[q.cls * 2].credit = Math.max(0, credit - 1);
@@ -947,7 +952,7 @@
     /** The one place that says whether this query may be sent to this engine now. Every send passes here. */
     private boolean legal(Query q, Node n) {
         return !q.over && !q.streaming && n.engine.state() == EngineState.READY && now < q.deadline
-                && q.sends < set.limits().maxAttempts() && placed(q, n) && repeatable(q, n)
+                && q.sends < q.most && placed(q, n) && repeatable(q, n)
                 && (q.running() == 0 || set.limits().secondCopies()) && inTurn(q)
                 && (q.sends == 0 || budget(0)) && coldRoom(kinds[q.cls * 2], n);
     }
@@ -999,14 +1004,9 @@
             return true;
         }
         double all = COLD_MARGIN * r.fallMultiple() * r.coldShare() * 0.85 * cores(n.engine) * r.fall();
-        double least = Double.MAX_VALUE, most = 1;
-        for (int c = 0; c < kinds.length; c += 2) {
-            least = Math.min(least, usualWork(kinds[c]));
-            most = Math.max(most, usualWork(kinds[c]));
-        }
-        double hosts = Math.max(1, Math.min(set.routers(), Math.floor(all / most)));
+        double hosts = Math.max(1, Math.min(set.routers(), Math.floor(all / heaviest)));
         long place = set.me() + (long) (State.draw(n.engine.id()) * set.routers());
-        if (set.routers() > 2 * TURN && all / set.routers() < least) {
+        if (set.routers() > 2 * TURN && all / set.routers() < lightest) {
             place = set.me() - (long) Math.floor(since / r.fall()) * TURN;
             hosts = TURN;
             all /= 2;
--- a/decision/src/main/java/quincespar/decision/Gateway.java
+++ b/decision/src/main/java/quincespar/decision/Gateway.java
@@ -84,6 +84,12 @@
             }
         }
 
+        /** The same with other classes and tenants. */
+        public Settings with(List<ClassSpec> otherClasses, List<Tenant> otherTenants) {
+            return new Settings(routers, me, zone, otherClasses, otherTenants, overShareWorth, askDiscovery, marksRetry,
+                    crossZonePrice, wastePrice, peerPrice, tick, limits, rules, fleet);
+        }
+
         private static void require(boolean right, String wrong) {
             if (!right) {
                 throw new IllegalArgumentException(wrong);
@@ -119,6 +125,13 @@
     /** News of a running attempt. */
     record Note(long id, int attempt, long engine, NoteKind kind, double value) implements Event { }
 
+    /**
+     * New settings bind from now on, also for the list of engines that follows. A class that both know keeps its number
+     * for good; {@code dropped} are the numbers of those that no new request will name. Requests that are open keep the
+     * terms under which they were taken.
+     */
+    record Configured(Settings settings, List<Integer> dropped) implements Event { }
+
     /** The client has left; nothing is owed any more. */
     record Left(long id) implements Event { }
 
--- a/decision/src/main/java/quincespar/decision/State.java
+++ b/decision/src/main/java/quincespar/decision/State.java
@@ -15,6 +15,7 @@
 import quincespar.decision.Gateway.Outcome;
 import quincespar.decision.Gateway.Request;
 import quincespar.decision.Gateway.Settings;
+import quincespar.decision.Gateway.Tenant;
 import quincespar.decision.Gateway.Told;
 
 /**
@@ -89,14 +90,23 @@
 
     /** Counts a tenant's requests against its quota: true where one lies beyond it. */
     static final class Bucket {
-        final double perS;
-        double level, last = Double.NaN;
+        double perS, level, last = Double.NaN;
 
         Bucket(double perS) {
             this.perS = perS;
             level = perS;
         }
 
+        /** Buckets for these tenants; one that was there keeps its level, as a tenant keeps its number. */
+        static Bucket[] follow(Bucket[] before, List<Tenant> tenants) {
+            Bucket[] out = Arrays.copyOf(before, tenants.size());
+            for (int t = 0; t < out.length; t++) {
+                out[t] = out[t] != null ? out[t] : new Bucket(tenants.get(t).quotaPerS());
+                out[t].perS = tenants.get(t).quotaPerS();
+            }
+            return out;
+        }
+
         boolean spend(double now) {
             level = Double.isNaN(last) ? perS : Math.min(perS, level + (now - last) * perS / 1000);
             last = now;
@@ -110,13 +120,15 @@
 
     /** A class, or the rare heavy part of one: what is learned of it over all engines. */
     static final class Kind {
-        final ClassSpec spec;
         final int cls, band, index;
         final Mean times, ratio, scatter, usual, work;
         final Fit fit, memory;
+        ClassSpec spec;
+        /** Not in the settings any more: what is open goes on, new ones do not come. */
+        boolean dropped;
         double best = 50, credit = 1;
 
-        Kind(ClassSpec spec, int cls, int band, double rateSpan, double classSpan, double prior) {
+        Kind(int cls, int band, double rateSpan, double classSpan, double prior) {
             times = new Mean(rateSpan);
             ratio = new Mean(rateSpan);
             scatter = new Mean(classSpan);
@@ -124,7 +136,6 @@
             work = new Mean(classSpan);
             fit = new Fit(classSpan, prior);
             memory = new Fit(classSpan, prior);
-            this.spec = spec;
             this.cls = cls;
             this.band = band;
             this.index = cls * 2 + band;
@@ -149,7 +160,7 @@
         final Request request;
         final ClassSpec spec;
         final long id, seq;
-        final int cls;
+        final int cls, most;
         final double deadline;
         final List<Attempt> attempts = new ArrayList<>(2);
         double born, estimate, memory;
@@ -159,8 +170,10 @@
         KeyLine line;
         Node avoid;
 
-        Query(Request r, ClassSpec spec, double now, long seq) {
+        /** {@code most}: attempts that it may have, as the settings stood when it was taken. */
+        Query(Request r, ClassSpec spec, int most, double now, long seq) {
             request = r;
+            this.most = most;
             this.spec = spec;
             this.seq = seq;
             id = r.id();
@@ -305,16 +318,26 @@
 
     /** A bound on threads out, also by class, for one engine or pooled over all, and how attempts under it have stretched. */
     static final class Bound {
-        final Mean[] stretch;
-        final int[] out;
+        Mean[] stretch = {};
+        int[] out = {};
+        final double span;
         double width;
         int threads;
 
         Bound(int classes, double span, double width) {
-            stretch = new Mean[classes];
-            out = new int[classes];
-            Arrays.setAll(stretch, i -> new Mean(span));
+            this.span = span;
             this.width = width;
+            widen(classes);
+        }
+
+        /** Has room for so many classes; those that are there keep what they have. */
+        void widen(int classes) {
+            int known = out.length;
+            if (classes > known) {
+                out = Arrays.copyOf(out, classes);
+                stretch = Arrays.copyOf(stretch, classes);
+                Arrays.setAll(stretch, i -> i < known ? stretch[i] : new Mean(span));
+            }
         }
 
         void add(int cls, int more) {
@@ -326,7 +349,7 @@
     static final class Node {
         Engine engine;
         final Bound bound;
-        final Mean[] times;
+        Mean[] times;
         final Mean pace, failures;
         final LinkedHashSet<Attempt> outstanding = new LinkedHashSet<>();
         final LinkedHashSet<Word> words = new LinkedHashSet<>();
@@ -346,6 +369,18 @@
             times = new Mean[kinds];
         }
 
+        /** A query of this kind took so long here. */
+        void took(int kind, double now, double ms) {
+            times[kind] = times[kind] != null ? times[kind] : new Mean(pace.span);
+            times[kind].add(now, ms);
+        }
+
+        /** Has room for so many kinds, two to a class. */
+        void widen(int kinds) {
+            times = Arrays.copyOf(times, kinds);
+            bound.widen(kinds / 2);
+        }
+
         boolean gone() {
             return engine.state() == EngineState.GONE;
         }
--- a/frontend/src/main/java/quincespar/program/Configuration.java
+++ b/frontend/src/main/java/quincespar/program/Configuration.java
@@ -9,7 +9,6 @@
 import quincespar.membership.Pace;
 import quincespar.protocol.ChangeLogCodec;
 import quincespar.protocol.Json;
-import quincespar.protocol.MalformedException;
 import quincespar.routing.Bounds;
 import quincespar.routing.Site;
 import quincespar.settings.Keyword;
@@ -34,20 +33,29 @@
 
     /** Reads the file that {@code GW_CONFIG} names; throws {@link IllegalArgumentException} in one plain line. */
     static Configuration read(Map<String, String> environment) {
+        return read(environment, null).configuration();
+    }
+
+    /** As {@link #read(Map)}, held against the document in force, null at a start. */
+    static ConfigurationCheck.Good read(Map<String, String> environment, Map<String, Object> inForce) {
         String file = environment.get("GW_CONFIG");
         if (file == null || file.isEmpty()) {
             throw new IllegalArgumentException("GW_CONFIG is not set");
         }
         try {
-            return read(Json.object(Json.read(Files.readAllBytes(Path.of(file))), "the configuration"), environment);
+            ConfigurationCheck.Result r = ConfigurationCheck.check(Files.readAllBytes(Path.of(file)), environment, inForce);
+            if (r instanceof ConfigurationCheck.Good good) {
+                return good;
+            }
+            throw new IllegalArgumentException("configuration " + file + ": " + ((ConfigurationCheck.Bad) r).line());
         } catch (IOException | InvalidPathException e) {
             throw new IllegalArgumentException("can't read " + file + ": " + e.getMessage(), e);
-        } catch (MalformedException | IllegalArgumentException e) {
-            throw new IllegalArgumentException("configuration " + file + ": " + e.getMessage(), e);
         }
     }
 
-    private static Configuration read(Map<String, Object> all, Map<String, String> environment) {
+    /** Of a document whose settings and known events have been read; throws {@link IllegalArgumentException}. */
+    static Configuration of(Map<String, Object> all, Map<String, String> environment, Site site,
+            ChangeLogCodec.Changes known) {
         Map<String, Object> limits = all.get("limits") == null ? Map.of() : Json.object(all.get("limits"), "limits");
         String listen = environment.getOrDefault("GW_LISTEN", String.valueOf(all.get("listen")));
         String admin = environment.getOrDefault("GW_ADMIN_ADDR",
@@ -57,9 +65,7 @@
         return new Configuration(environment.getOrDefault("GW_NAME", String.valueOf(all.get("name"))),
                 address(listen), admin.isEmpty() ? null : address(admin), changeLog,
                 Long.parseUnsignedLong(Json.text(all.get("seed"), "seed"), 16),
-                limit(limits, "sockets", SOCKETS), limit(limits, "memory_mb", MEMORY_MB),
-                Site.of(Json.pairs(Json.object(all.get("settings"), "settings"))),
-                ChangeLogCodec.read(all.get("known")));
+                limit(limits, "sockets", SOCKETS), limit(limits, "memory_mb", MEMORY_MB), site, known);
     }
 
     private static int limit(Map<String, Object> limits, String name, int absent) {
--- a/frontend/src/main/java/quincespar/program/EngineLinks.java
+++ b/frontend/src/main/java/quincespar/program/EngineLinks.java
@@ -16,6 +16,7 @@
 import quincespar.routing.Effect;
 import quincespar.routing.EngineNews;
 import quincespar.routing.Input;
+import quincespar.routing.Site;
 import quincespar.transport.Connection;
 import quincespar.transport.EventLoop;
 import quincespar.transport.OutboxBound;
@@ -34,13 +35,17 @@
     private final Map<Long, Connection> connections = new ConcurrentHashMap<>();
     private final OutboxBound bound = new OutboxBound(OUTBOX, OUTBOXES);
     private final EventLoop loop;
-    private final List<String> reportFields;
+    private volatile List<String> reportFields;
     private final Consumer<Input> post;
 
-    EngineLinks(EventLoop loop, List<String> reportFields, Consumer<Input> post) {
+    EngineLinks(EventLoop loop, Site site, Consumer<Input> post) {
         this.loop = loop;
-        this.reportFields = reportFields;
         this.post = post;
+        adopt(site);
+    }
+
+    void adopt(Site site) {
+        reportFields = site.module().fleet().reportFields();
     }
 
     void open(Effect.OpenLink e) {
--- a/frontend/src/main/java/quincespar/program/FrontEnd.java
+++ b/frontend/src/main/java/quincespar/program/FrontEnd.java
@@ -40,6 +40,8 @@
     private final Map<String, String> environment;
     private final Logs logs;
     private final Configuration configuration;
+    /** The document that was taken last: a new one must not lack what it has. */
+    private Map<String, Object> inForce;
     private final Bounds bounds;
     private final Reducer reducer;
     private final EventLoop clientLoop = new EventLoop("clients");
@@ -56,7 +58,9 @@
     FrontEnd(Map<String, String> environment, Settings settings, Logs logs) throws IOException {
         this.environment = environment;
         this.logs = logs;
-        Configuration c = Configuration.read(environment);
+        ConfigurationCheck.Good read = Configuration.read(environment, null);
+        inForce = read.document();
+        Configuration c = read.configuration();
         configuration = c;
         bounds = c.bounds(settings);
         reducer = new Reducer(c.site(), bounds, new Brain(c.site().module(), c.seed()));
@@ -69,7 +73,7 @@
         listener = new Listener(clientLoop, c.listen());
         front = new ThriftFront(clientLoop, listener, c.site(), (int) (c.sockets() * CLIENT_SHARE), clock, counters,
                 inputs::addFromPeer, this::report);
-        engines = new EngineLinks(engineLoop, c.site().module().fleet().reportFields(), inputs::addFromPeer);
+        engines = new EngineLinks(engineLoop, c.site(), inputs::addFromPeer);
         changes = new ChangeLog(engineLoop, inputs::addFromPeer);
     }
 
@@ -144,9 +148,12 @@
         inputs.add(new Input.Hangup());
     }
 
-    private void reread(long serial) {
+    /** One at a time: each is held against the one that was taken before it. */
+    private synchronized void reread(long serial) {
         try {
-            inputs.add(new Input.Reconfigured(serial, Configuration.read(environment).changeLog()));
+            ConfigurationCheck.Good read = Configuration.read(environment, inForce);
+            inForce = read.document();
+            inputs.add(new Input.Reconfigured(serial, read.configuration().changeLog(), read.configuration().site()));
         } catch (RuntimeException e) { // whatever is wrong with the new file, the old one stays in force
             inputs.add(new Input.ReconfigureFailed(serial, e.getMessage()));
         }
@@ -222,6 +229,9 @@
             uncaught(e.where(), e.error());
         } else if (effect instanceof Effect.Reread e) {
             Threads.daemon("reread", () -> reread(e.serial())).start();
+        } else if (effect instanceof Effect.Adopt e) {
+            front.adopt(e.site());
+            engines.adopt(e.site());
         } else if (effect instanceof Effect.DropPoll) {
             changes.drop();
         } else if (effect instanceof Effect.Log e) {
--- a/frontend/src/main/java/quincespar/program/Main.java
+++ b/frontend/src/main/java/quincespar/program/Main.java
@@ -75,6 +75,9 @@
             @CommandLine.Option(names = "--report", paramLabel = "MS", defaultValue = "0",
             description = "Write the counters to the log every so many milliseconds; 0, the default, is as the file"
                     + " says.") long reportMs) throws IOException, InterruptedException, ConfException {
+        Hangups hangups = new Hangups();
+        // left alone, it would end the program; where the parent had it ignored, the JVM leaves it so
+        boolean ignored = Signal.handle(new Signal("HUP"), s -> hangups.heard()) == SignalHandler.SIG_IGN;
         Settings settings = conf == null ? Settings.defaults() : read(conf);
         Logs logs = Logs.start(settings);
         FrontEnd frontEnd = new FrontEnd(System.getenv(), settings, logs);
@@ -82,8 +85,8 @@
         if (every > 0) {
             frontEnd.reportEvery(every);
         }
-        // left alone, it would end the program; where the parent had it ignored, the JVM leaves it so
-        if (Signal.handle(new Signal("HUP"), s -> frontEnd.hangup()) == SignalHandler.SIG_IGN) {
+        hangups.to(frontEnd::hangup);
+        if (ignored) {
             System.err.println("quincespar: SIGHUP is ignored by whoever started this program, so that a new"
                     + " configuration will not be heard of; start it by 'env --default-signal=HUP'");
         }
@@ -99,6 +102,26 @@
         return 0;
     }
 
+    /** Signals for a new configuration; one that comes before there is a front end to hear it waits for that. */
+    private static final class Hangups {
+        private Runnable to;
+        private boolean waiting;
+
+        synchronized void heard() {
+            waiting = to == null;
+            if (to != null) {
+                to.run();
+            }
+        }
+
+        synchronized void to(Runnable hears) {
+            to = hears;
+            if (waiting) {
+                hears.run();
+            }
+        }
+    }
+
     @Command(name = "check-conf", description = "Check an operators' file: exit code 0 where it can be used, 1 with a"
             + " line for each thing that is wrong.")
     int checkConf(@CommandLine.Parameters(paramLabel = "FILE") Path conf) throws IOException, ConfException {
--- a/frontend/src/main/java/quincespar/program/ThriftFront.java
+++ b/frontend/src/main/java/quincespar/program/ThriftFront.java
@@ -1,8 +1,6 @@
 package quincespar.program;
 
 import java.nio.channels.SocketChannel;
-import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -12,7 +10,6 @@
 import java.util.regex.Pattern;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import quincespar.decision.Gateway;
 import quincespar.protocol.MalformedException;
 import quincespar.protocol.StatementScan;
 import quincespar.protocol.Utf8;
@@ -47,9 +44,8 @@
     private final Map<Long, Session> sessions = new ConcurrentHashMap<>();
     private final OutboxBound bound = new OutboxBound(OUTBOX, OUTBOXES);
     private final AtomicLong numbers = new AtomicLong();
-    private final Map<String, Integer> classes = new HashMap<>();
-    private final Map<String, Integer> tenants = new HashMap<>();
-    private final double[] longest;
+    /** What requests are read by; replaced whole. */
+    private volatile Site site;
     private final Clock clock;
     private final Counters counters;
     private final Consumer<Input> post;
@@ -62,15 +58,7 @@
             Consumer<Input> post, Supplier<Map<String, String>> report) {
         this.loop = loop;
         this.listener = listener;
-        List<Gateway.ClassSpec> specs = site.module().classes();
-        longest = new double[specs.size()];
-        for (int i = 0; i < specs.size(); i++) {
-            longest[i] = LONGEST * specs.get(i).deadline();
-            classes.put(specs.get(i).name(), i);
-        }
-        for (int i = 0; i < site.module().tenants().size(); i++) {
-            tenants.put(site.module().tenants().get(i).name(), i);
-        }
+        this.site = site;
         places = mostConnections;
         this.clock = clock;
         this.counters = counters;
@@ -78,6 +66,11 @@
         this.report = report;
     }
 
+    /** Requests that come whole from now on are read by these settings. */
+    void adopt(Site next) {
+        site = next;
+    }
+
     void start() {
         listener.start(this);
     }
@@ -261,21 +254,22 @@
 
     /** A call's fields as a query; throws {@link MalformedException} by the name of a field that can't be used. */
     private Query query(Message.Call c) {
+        Site by = site; // one and the same to the end of this request
         Map<String, String> f = c.fields();
         String txn = f.getOrDefault("txn", "");
         if (!TXN.matcher(txn).matches()) {
             throw new MalformedException("field txn is not 16 hex digits");
         }
-        Integer cls = classes.get(f.getOrDefault("verb", ""));
+        Integer cls = by.classes().get(f.getOrDefault("verb", ""));
         if (cls == null) {
             throw new MalformedException("no class '" + f.get("verb") + "'");
         }
-        Integer tenant = tenants.isEmpty() ? Integer.valueOf(0) : tenants.get(f.getOrDefault("team", ""));
+        Integer tenant = by.tenants().isEmpty() ? Integer.valueOf(0) : by.tenants().get(f.getOrDefault("team", ""));
         if (tenant == null) {
             throw new MalformedException("no tenant '" + f.get("team") + "'");
         }
         double limit = number(f, "limit");
-        if (limit <= 0 || limit > longest[cls]) {
+        if (limit <= 0 || limit > LONGEST * by.module().classes().get(cls).deadline()) {
             throw new MalformedException("field limit is out of bounds");
         }
         String second = f.get("second");
--- a/frontend/src/main/java/quincespar/routing/Effect.java
+++ b/frontend/src/main/java/quincespar/routing/Effect.java
@@ -47,6 +47,9 @@
     /** Read the configuration again. */
     record Reread(long serial) implements Effect { }
 
+    /** New settings bind: requests are read by them from now on. */
+    record Adopt(Site site) implements Effect { }
+
     /** Give up what is asked of the change log. */
     record DropPoll() implements Effect { }
 
--- a/frontend/src/main/java/quincespar/routing/Fleet.java
+++ b/frontend/src/main/java/quincespar/routing/Fleet.java
@@ -31,7 +31,8 @@
         }
     }
 
-    private final Site site;
+    private Site site;
+    private long revision;
     private final Map<Long, Engine> engines = new LinkedHashMap<>();
     private boolean listed;
 
@@ -65,6 +66,7 @@
         Gateway.ListKind kind = !event.complete() ? Gateway.ListKind.DELTA
                 : listed ? Gateway.ListKind.FULL : Gateway.ListKind.CACHED;
         listed = true;
+        revision = event.revision();
         List<Gateway.Engine> told = new ArrayList<>();
         event.members().forEach(m -> told.add(word(engine(m))));
         removed.forEach(this::engine);
@@ -76,6 +78,13 @@
         engines.values().removeIf(e -> e.listed.phase() == Phase.REMOVED && e.links.isEmpty());
     }
 
+    /** The whole list again, as the names of these settings number zones and kinds. */
+    Gateway.Listed adopt(Site next) {
+        site = next;
+        return new Gateway.Listed(Gateway.ListKind.FULL, revision, engines.values().stream()
+                .filter(e -> e.listed.phase() != Phase.REMOVED).map(this::word).toList());
+    }
+
     private Engine engine(FleetEvent.Member m) {
         long number = number(m.id());
         Engine e = engines.computeIfAbsent(number, n -> new Engine(n, m));
--- a/frontend/src/main/java/quincespar/routing/Input.java
+++ b/frontend/src/main/java/quincespar/routing/Input.java
@@ -50,8 +50,8 @@
     /** The operators say that the configuration has been replaced. */
     record Hangup() implements Input { }
 
-    /** The new configuration was read; {@code changeLog} is where the change log is from now on. */
-    record Reconfigured(long serial, String changeLog) implements Input { }
+    /** The new configuration can be used; {@code changeLog} is where the change log is from now on. */
+    record Reconfigured(long serial, String changeLog, Site site) implements Input { }
 
     /** The new configuration can't be used. */
     record ReconfigureFailed(long serial, String cause) implements Input { }
--- a/frontend/src/main/java/quincespar/routing/OpenRequest.java
+++ b/frontend/src/main/java/quincespar/routing/OpenRequest.java
@@ -2,24 +2,33 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import quincespar.decision.Gateway.ClassSpec;
+import quincespar.decision.Gateway.Effect;
 
 /** A request that was taken, until it is answered and nothing of it is out. */
 final class OpenRequest {
     final long id;
     final Caller caller;
     final Query query;
+    /** The terms of its class as they stood when it was taken; they are its own to the end. */
+    final ClassSpec spec;
     /** The module's deadline: the client's, less the time it takes to write an answer. */
     final double until;
     final List<Attempt> attempts = new ArrayList<>(1);
     boolean over;
 
-    OpenRequest(long id, Caller caller, Query query, double until) {
+    OpenRequest(long id, Caller caller, Query query, ClassSpec spec, double until) {
         this.id = id;
         this.caller = caller;
         this.query = query;
+        this.spec = spec;
         this.until = until;
     }
 
+    boolean unsafe() {
+        return spec.effect() == Effect.UNSAFE;
+    }
+
     boolean running() {
         return attempts.stream().anyMatch(a -> a.outcome == null);
     }
--- a/frontend/src/main/java/quincespar/routing/Reducer.java
+++ b/frontend/src/main/java/quincespar/routing/Reducer.java
@@ -33,7 +33,7 @@
     private static final double SUSPECT = 2000;
     private static final int MOST_BYTES = 48_000;
 
-    private final Site site;
+    private Site site;
     private final Bounds bounds;
     private final Gateway gateway;
     private final Fleet fleet;
@@ -65,7 +65,7 @@
         this.bounds = bounds;
         this.gateway = gateway;
         fleet = new Fleet(site);
-        ledger.classes(site.module().classes().stream().map(Gateway.ClassSpec::name).toList());
+        ledger.classes(site.classNames());
         membership = new Membership(bounds.changes());
     }
 
@@ -214,6 +214,7 @@
         } else if (i instanceof Input.Reconfigured x && x.serial() == reread) {
             ledger.loaded();
             // requests, links and the fleet stay as they are; the file may be replaced again soon, the last one counts
+            adopt(x.site().following(site));
             follow(membership.moved(now, x.changeLog()));
         } else if (i instanceof Input.ReconfigureFailed x && x.serial() == reread) {
             ledger.invalid();
@@ -221,6 +222,17 @@
         }
     }
 
+    /** New settings bind whole, in one step; where nothing in them is new, the module hears nothing. */
+    private void adopt(Site next) {
+        if (!next.equals(site)) {
+            site = next;
+            ledger.classes(site.classNames());
+            effects.add(new Effect.Adopt(site));
+            events.add(new Gateway.Configured(site.module(), site.dropped()));
+            events.add(fleet.adopt(site));
+        }
+    }
+
     // ---- requests ----------------------------------------------------------------------------------------
 
     private void callerUp(long connection) {
@@ -257,7 +269,8 @@
             return;
         }
         double margin = Math.min(MARGIN, q.limitMs() / 10);
-        OpenRequest r = new OpenRequest(++serial, x.caller(), q, x.at() + q.limitMs() - margin);
+        OpenRequest r = new OpenRequest(++serial, x.caller(), q, site.module().classes().get(q.cls()),
+                x.at() + q.limitMs() - margin);
         requests.put(r.id, r);
         callers.put(r.caller, r);
         names.put(q.txn(), r);
@@ -265,7 +278,7 @@
         effects.add(new Effect.StopTimer(new TimerKey.Front(r.caller.connection())));
         startTimer(new TimerKey.Request(r.id), x.at() + q.limitMs() - Math.min(LAST, margin / 4) - now);
         events.add(new Gateway.Request(r.id, q.cls(), q.tenant(), Math.max(0, r.until - now), q.work(),
-                q.memory(), q.tables(), 0, q.repeat(), site.module().classes().get(q.cls()).loads()));
+                q.memory(), q.tables(), 0, q.repeat(), r.spec.loads()));
     }
 
     private void left(Caller c) {
@@ -321,7 +334,7 @@
         } else if (action instanceof Gateway.Cancel a) {
             Attempt at = attempt(new AttemptKey(a.id(), a.attempt()));
             if (at != null) {
-                tally.count("cut", a.why(), className(at.request));
+                tally.count("cut", a.why(), at.request.spec.name());
                 giveUp(at, Outcome.CANCELLED);
             }
         } else if (action instanceof Gateway.SetTimer a) {
@@ -335,7 +348,7 @@
     }
 
     private void refuse(OpenRequest r, double comeBack) {
-        if (r != null && unsafe(r) && r.mayHaveRun()) { // a refusal says that a repeat is harmless
+        if (r != null && r.unsafe() && r.mayHaveRun()) { // a refusal says that a repeat is harmless
             effects.add(new Effect.Log("refusal of " + r.query.txn() + ", which may have run, was made a failure"));
             answer(r, new Reply.Failed());
         } else {
@@ -343,16 +356,8 @@
         }
     }
 
-    private String className(OpenRequest r) {
-        return site.module().classes().get(r.query.cls()).name();
-    }
-
-    private boolean unsafe(OpenRequest r) {
-        return site.module().classes().get(r.query.cls()).effect() == Gateway.Effect.UNSAFE;
-    }
-
     private void send(OpenRequest r, Gateway.Send s) {
-        boolean twice = r != null && (unsafe(r) && r.mayHaveRun()
+        boolean twice = r != null && (r.unsafe() && r.mayHaveRun()
                 || r.running() && !site.module().limits().secondCopies());
         if (r == null || r.over || twice) { // a load never twice, and never two at once
             effects.add(new Effect.Log("the module's " + s + " was not carried out"));
@@ -367,7 +372,7 @@
             return;
         }
         startTimer(new TimerKey.Attempt(a.key), until - now);
-        a.link = link(e, r.query.txn(), unsafe(r));
+        a.link = link(e, r.query.txn(), r.unsafe());
         if (a.link == null) {
             end(a, Outcome.CONNECT_FAILED);
             return;
@@ -381,7 +386,7 @@
     private void write(Attempt a) {
         Query q = a.request.query;
         tally.engine(a.link.engine.listed.id(), "sent");
-        effects.add(new Effect.Send(a.link.id, a.key, q.txn(), site.module().classes().get(q.cls()).name(),
+        effects.add(new Effect.Send(a.link.id, a.key, q.txn(), a.request.spec.name(),
                 Math.max(1, Math.round(a.until - now)), q.statement(), a.passage));
     }
 
@@ -412,8 +417,8 @@
             return;
         }
         a.outcome = outcome;
-        tally.count(a.link == null ? "unsent" : "ended", outcome, className(a.request));
-        tally.add("ms", outcome, className(a.request), Math.round(now - a.at));
+        tally.count(a.link == null ? "unsent" : "ended", outcome, a.request.spec.name());
+        tally.add("ms", outcome, a.request.spec.name(), Math.round(now - a.at));
         if (a.link != null) {
             tally.engine(a.link.engine.listed.id(), outcome.name());
         }
@@ -567,7 +572,7 @@
 
     /** How much is lost if the link ends; one that carries what may not run twice is full. */
     private int shared(Link l) {
-        boolean dear = spoilt && l.open.values().stream().anyMatch(a -> unsafe(a.request));
+        boolean dear = spoilt && l.open.values().stream().anyMatch(a -> a.request.unsafe());
         return l.open.size() + (dear ? bounds.sharedPerLink() : 0);
     }
 
--- a/frontend/src/main/java/quincespar/routing/Site.java
+++ b/frontend/src/main/java/quincespar/routing/Site.java
@@ -1,21 +1,81 @@
 package quincespar.routing;
 
+import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Function;
 import quincespar.decision.Gateway;
 import quincespar.decision.SettingsParser;
 
-/** The settings: those of the module, and those that only a front end on sockets needs. */
-public record Site(Gateway.Settings module, List<String> zones, List<String> kinds, double idleMs, int streams) {
+/**
+ * The settings: those of the module, and those that only a front end on sockets needs. Classes and tenants are known by
+ * name: a name has one number for as long as the program runs, however the settings that follow list it.
+ *
+ * @param classes the numbers of the classes that a request may name; the module's list may hold more, which were dropped
+ * @param tenants the numbers of the tenants, alike
+ */
+public record Site(Gateway.Settings module, List<String> zones, List<String> kinds, double idleMs, int streams,
+        Map<String, Integer> classes, Map<String, Integer> tenants) {
     private static final double IDLE = 15_000;
     private static final int STREAMS = 100;
 
     /** Reads pairs of path and value, as the adapter does; throws {@link IllegalArgumentException}. */
     public static Site of(Map<String, String> pairs) {
         SettingsParser settings = new SettingsParser(pairs);
-        return new Site(settings.settings(), settings.words("localities"), settings.words("kinds"),
+        Gateway.Settings module = settings.settings();
+        return new Site(module, settings.words("localities"), settings.words("kinds"),
                 aboveZero(settings.number("limits.connIdle", IDLE), IDLE),
-                (int) aboveZero(settings.number("limits.maxStreams", STREAMS), STREAMS));
+                (int) aboveZero(settings.number("limits.maxStreams", STREAMS), STREAMS),
+                numbers(module.classes(), Gateway.ClassSpec::name), numbers(module.tenants(), Gateway.Tenant::name));
+    }
+
+    /** The place of each name. */
+    private static <T> Map<String, Integer> numbers(List<T> all, Function<T, String> name) {
+        Map<String, Integer> out = new HashMap<>();
+        for (int i = 0; i < all.size(); i++) {
+            out.put(name.apply(all.get(i)), i);
+        }
+        return Map.copyOf(out);
+    }
+
+    /**
+     * These settings after those of {@code before}: what both know keeps the number that it has there, what is new comes
+     * behind, and what was dropped keeps its place with its last terms, for the requests that are still open.
+     */
+    public Site following(Site before) {
+        List<Gateway.ClassSpec> specs = merged(before.module.classes(), module.classes(), Gateway.ClassSpec::name);
+        List<Gateway.Tenant> shops = merged(before.module.tenants(), module.tenants(), Gateway.Tenant::name);
+        Map<String, Integer> named = new HashMap<>(numbers(specs, Gateway.ClassSpec::name));
+        named.keySet().retainAll(classes.keySet());
+        Map<String, Integer> known = new HashMap<>(numbers(shops, Gateway.Tenant::name));
+        known.keySet().retainAll(tenants.keySet());
+        return new Site(module.with(specs, shops), zones, kinds, idleMs, streams, Map.copyOf(named), Map.copyOf(known));
+    }
+
+    private static <T> List<T> merged(List<T> before, List<T> next, Function<T, String> name) {
+        Map<String, Integer> at = numbers(next, name);
+        List<T> out = new ArrayList<>();
+        before.forEach(t -> out.add(at.containsKey(name.apply(t)) ? next.get(at.get(name.apply(t))) : t));
+        Map<String, Integer> had = numbers(before, name);
+        next.stream().filter(t -> !had.containsKey(name.apply(t))).forEach(out::add);
+        return List.copyOf(out);
+    }
+
+    /** The numbers of the classes that were dropped. */
+    public List<Integer> dropped() {
+        List<Integer> out = new ArrayList<>();
+        for (int i = 0; i < module.classes().size(); i++) {
+            if (!classes.containsKey(module.classes().get(i).name())) {
+                out.add(i);
+            }
+        }
+        return out;
+    }
+
+    /** The names of all classes by number, dropped ones too. */
+    public List<String> classNames() {
+        return module.classes().stream().map(Gateway.ClassSpec::name).toList();
     }
 
     private static double aboveZero(double n, double absent) {
--- a/frontend/src/test/java/quincespar/routing/ReducerTest.java
+++ b/frontend/src/test/java/quincespar/routing/ReducerTest.java
@@ -21,14 +21,14 @@
     private final List<Gateway.Event> told = new ArrayList<>();
     private final List<Gateway.Action> plan = new ArrayList<>();
     private final List<Effect> effects = new ArrayList<>();
+    private final Map<String, String> pairs = new HashMap<>();
     private Reducer reducer;
     private int decisions;
     private double now = 1000;
 
     @BeforeEach
     void start() {
-        Map<String, String> pairs = new HashMap<>(Map.of("requestClasses.count", "2", "tick", "5",
-                "rules.drainGrace", "1000"));
+        pairs.putAll(Map.of("requestClasses.count", "2", "tick", "5", "rules.drainGrace", "1000"));
         for (int c = 0; c < 2; c++) {
             pairs.putAll(Map.of("requestClasses." + c + ".slo", "800", "requestClasses." + c + ".hardLimit", "4000",
                     "requestClasses." + c + ".effect", c == 0 ? "safe" : "unsafe"));
@@ -261,8 +261,8 @@
         Effect.Send s = sent(0);
         step(new Input.Hangup(), new Input.Hangup()); // the file may be replaced again at once: the last counts
         List<Effect.Reread> rereads = of(Effect.Reread.class, effects);
-        step(new Input.Reconfigured(rereads.get(1).serial(), "127.0.0.1:2"),
-                new Input.Reconfigured(rereads.get(0).serial(), "127.0.0.1:3"));
+        step(new Input.Reconfigured(rereads.get(1).serial(), "127.0.0.1:2", Site.of(pairs)),
+                new Input.Reconfigured(rereads.get(0).serial(), "127.0.0.1:3", Site.of(pairs)));
         Effect.Poll poll = last(Effect.Poll.class);
         assertThat(poll.address()).isEqualTo("127.0.0.1:2");
         assertThat(poll.since()).isEqualTo(1);
