Let an old process move its clients one by one to the new one that serves beside it

Change: Siblings, a lock below TMPDIR for each process (one byte while it lives, one while it serves), tells the old one that another serves; then the phase is YIELDING: the listener closes at once, each connection ends after the answer that leaves nothing open on it, with nothing unread and no request half there (Connection.finishIfQuiet), and all that is open is answered 400 ms before the system's own end. The listener's channel is taken off its loop before the last accepts, as a channel that is still registered is closed by the loop's next look only. Without a sibling a stop is as before.

Ruled out: refusing new requests on old connections at once, which loses their worth; closing all connections at one time.

--- a/frontend/src/main/java/quincespar/program/FrontEnd.java
+++ b/frontend/src/main/java/quincespar/program/FrontEnd.java
@@ -26,6 +26,8 @@
     /** After word to stop, connections come for up to 0.4 s and requests on open ones for 0.2 s more. */
     private static final double LEAVING_MS = 800;
     private static final double FLUSH_MS = 300;
+    /** Beside a new process: so long after the word to stop the system's own end follows, deadlines or not. */
+    private static final double LONGEST_YIELD_MS = 5000, END_MS = 700, YIELD_MARGIN_MS = 400, YIELD_LOOK_MS = 25;
     /** What came last may lie unread for so long, on a part of a core: stopped before, it would be lost. */
     private static final double SETTLE_MS = 300;
     /** Descriptors: a third is the clients' by the protocol; the rest covers theirs that linger, and ours. */
@@ -46,6 +48,7 @@
     private final Reducer reducer;
     private final EventLoop clientLoop = new EventLoop("clients");
     private final EventLoop engineLoop = new EventLoop("engines");
+    private final Siblings siblings;
     private final Listener listener;
     private final StatusAddress status;
     /** The last that the reducer's thread has published, for whoever reads it. */
@@ -58,6 +61,7 @@
     FrontEnd(Map<String, String> environment, Settings settings, Logs logs) throws IOException {
         this.environment = environment;
         this.logs = logs;
+        siblings = Siblings.join(environment);
         ConfigurationCheck.Good read = Configuration.read(environment, null);
         inForce = read.document();
         Configuration c = read.configuration();
@@ -107,7 +111,9 @@
         }
         front.start();
         clientLoop.start();
-        lifecycle.enter(Phase.SERVING);
+        if (lifecycle.enter(Phase.SERVING)) {
+            siblings.serves();
+        }
         log.info("{}: serving on {}", configuration.name(), configuration.listen());
     }
 
@@ -120,7 +126,14 @@
 
     /** Asks for an orderly end and waits for it; called from another thread. */
     void leave() throws InterruptedException {
-        if (lifecycle.leave() && lifecycle.phase() == Phase.LEAVING) {
+        if (!lifecycle.leave(siblings.othersServe())) {
+            lifecycle.await(Phase.STOPPED);
+            return;
+        }
+        siblings.leaves();
+        if (lifecycle.phase() == Phase.YIELDING) {
+            move();
+        } else if (lifecycle.phase() == Phase.LEAVING) {
             front.leave();
             timers.after(LEAVING_MS, () -> {
                 listener.close(() -> lifecycle.enter(Phase.SETTLING));
@@ -134,6 +147,28 @@
         log.info("{}: stopped: {}", configuration.name(), report());
     }
 
+    /**
+     * Another process takes the clients: no new ones here, those that are here move at a moment when nothing of theirs
+     * is open, and what they ask until then is served as ever, within the time that there is.
+     */
+    private void move() {
+        log.info("{}: another process serves at this address, clients are moved to it", configuration.name());
+        double longest = configuration.site().module().classes().stream().mapToDouble(c -> c.deadline()).max().orElse(0);
+        double endsAt = clock.now() + Math.min(longest, LONGEST_YIELD_MS) + END_MS - YIELD_MARGIN_MS;
+        inputs.add(new Input.EndsAt(endsAt));
+        listener.close(() -> moveSome(endsAt));
+    }
+
+    private void moveSome(double endsAt) {
+        front.move();
+        if (front.connections() == 0 || clock.now() >= endsAt + YIELD_LOOK_MS) {
+            lifecycle.enter(Phase.FINISHING);
+            inputs.add(new Input.CallerGone(0)); // wakes the loop, which may have nothing open
+        } else {
+            timers.after(YIELD_LOOK_MS, () -> moveSome(endsAt));
+        }
+    }
+
     /** Writes the counters to the log every so often, from now on. */
     void reportEvery(long everyMs) {
         timers.after(everyMs, () -> {
--- a/frontend/src/main/java/quincespar/program/Lifecycle.java
+++ b/frontend/src/main/java/quincespar/program/Lifecycle.java
@@ -12,6 +12,8 @@
         LEAVING,
         /** Accepting no more connections; what came last may still lie unread. */
         SETTLING,
+        /** Told to stop while another process serves at this address: clients are moved to it one by one. */
+        YIELDING,
         /** All that came was read; what was taken is answered. */
         FINISHING,
         /** All is answered: the last bytes are written and the program ends. */
@@ -45,9 +47,13 @@
         return true;
     }
 
-    /** Word to stop: before it serves, nothing has been taken and it ends at once. True for the first such word. */
-    synchronized boolean leave() {
-        return enter(phase == Phase.STARTING ? Phase.STOPPED : Phase.LEAVING);
+    /**
+     * Word to stop: before it serves, nothing has been taken and it ends at once; {@code beside} another process that
+     * serves here it yields to that, else it leaves. True for the first such word.
+     */
+    synchronized boolean leave(boolean beside) {
+        return phase.compareTo(Phase.SERVING) <= 0
+                && enter(phase == Phase.STARTING ? Phase.STOPPED : beside ? Phase.YIELDING : Phase.LEAVING);
     }
 
     synchronized void await(Phase wanted) throws InterruptedException {
--- a/frontend/src/main/java/quincespar/program/ThriftFront.java
+++ b/frontend/src/main/java/quincespar/program/ThriftFront.java
@@ -53,6 +53,7 @@
     private final EventLoop loop;
     private final Listener listener;
     private volatile int places;
+    private volatile boolean yielding;
 
     ThriftFront(EventLoop loop, Listener listener, Site site, int mostConnections, Clock clock, Counters counters,
             Consumer<Input> post, Supplier<Map<String, String>> report) {
@@ -110,6 +111,15 @@
         return sessions.size();
     }
 
+    /**
+     * Another process takes the clients: each connection ends at a moment when nothing is open on it, so that its client
+     * moves over with its next request. To be called again until none is left, as some have no such moment for a while.
+     */
+    void move() {
+        yielding = true;
+        sessions.values().forEach(Session::move);
+    }
+
     /** Closes all connections, each once what is queued on it has been written. */
     void finish() {
         sessions.values().forEach(s -> s.connection.finish());
@@ -158,6 +168,15 @@
             open.remove(seqid);
             if (!connection.send(frame)) {
                 connection.close("the client does not read");
+            } else if (yielding && open.isEmpty()) {
+                move();
+            }
+        }
+
+        /** Ends the connection if this is a moment at which nothing is open on it and no request is half there. */
+        void move() {
+            if (!frames.midway()) {
+                connection.finishIfQuiet();
             }
         }
 
--- a/frontend/src/main/java/quincespar/protocol/thrift/FrameDecoder.java
+++ b/frontend/src/main/java/quincespar/protocol/thrift/FrameDecoder.java
@@ -10,6 +10,11 @@
 
     private final Buffer buffer = new Buffer();
 
+    /** Whether a frame has begun and not ended. */
+    public boolean midway() {
+        return buffer.size() > 0;
+    }
+
     /** Feeds {@code count} bytes; throws {@link MalformedException} where a length is out of bounds. */
     public void feed(byte[] bytes, int count, Consumer<byte[]> taker) {
         buffer.add(bytes, count);
--- a/frontend/src/main/java/quincespar/routing/OpenRequest.java
+++ b/frontend/src/main/java/quincespar/routing/OpenRequest.java
@@ -14,15 +14,18 @@
     final ClassSpec spec;
     /** The module's deadline: the client's, less the time it takes to write an answer. */
     final double until;
+    /** The last moment for an answer of any kind. */
+    final double last;
     final List<Attempt> attempts = new ArrayList<>(1);
     boolean over;
 
-    OpenRequest(long id, Caller caller, Query query, ClassSpec spec, double until) {
+    OpenRequest(long id, Caller caller, Query query, ClassSpec spec, double until, double last) {
         this.id = id;
         this.caller = caller;
         this.query = query;
         this.spec = spec;
         this.until = until;
+        this.last = last;
     }
 
     boolean unsafe() {
--- a/frontend/src/main/java/quincespar/routing/Reducer.java
+++ b/frontend/src/main/java/quincespar/routing/Reducer.java
@@ -58,6 +58,8 @@
     private long reread;
     private double decidedAt;
     private boolean tickAsked;
+    /** When this process ends, whatever is open then. */
+    private double endsAt = Double.POSITIVE_INFINITY;
 
     /** A reducer round one module. */
     public Reducer(Site site, Bounds bounds, Gateway gateway) {
@@ -208,6 +210,9 @@
             follow(membership.answered(now, x.serial(), x.seq(), x.events()));
         } else if (i instanceof Input.ChangesFailed x) {
             follow(membership.failed(now, x.serial(), x.cause()));
+        } else if (i instanceof Input.EndsAt x) {
+            endsAt = x.time();
+            callers.values().forEach(r -> startTimer(new TimerKey.Request(r.id), Math.min(r.last, endsAt) - now));
         } else if (i instanceof Input.Hangup) {
             reread = ++serial;
             effects.add(new Effect.Reread(reread));
@@ -269,14 +274,15 @@
             return;
         }
         double margin = Math.min(MARGIN, q.limitMs() / 10);
+        double last = Math.min(x.at() + q.limitMs() - Math.min(LAST, margin / 4), endsAt);
         OpenRequest r = new OpenRequest(++serial, x.caller(), q, site.module().classes().get(q.cls()),
-                x.at() + q.limitMs() - margin);
+                Math.min(x.at() + q.limitMs(), endsAt) - margin, last);
         requests.put(r.id, r);
         callers.put(r.caller, r);
         names.put(q.txn(), r);
         fronts.opened(r);
         effects.add(new Effect.StopTimer(new TimerKey.Front(r.caller.connection())));
-        startTimer(new TimerKey.Request(r.id), x.at() + q.limitMs() - Math.min(LAST, margin / 4) - now);
+        startTimer(new TimerKey.Request(r.id), last - now);
         events.add(new Gateway.Request(r.id, q.cls(), q.tenant(), Math.max(0, r.until - now), q.work(),
                 q.memory(), q.tables(), 0, q.repeat(), r.spec.loads()));
     }
--- a/frontend/src/main/java/quincespar/transport/Connection.java
+++ b/frontend/src/main/java/quincespar/transport/Connection.java
@@ -295,6 +295,25 @@
         });
     }
 
+    /**
+     * Closes as {@link #finish} does where nothing is open and nothing lies unread; otherwise it stays, and what lay
+     * there is handed on. Guards against ending a connection under a request that has come or is half there.
+     */
+    public void finishIfQuiet() {
+        loop.execute(() -> {
+            boolean open;
+            synchronized (outbox) {
+                open = phase == Phase.OPEN;
+            }
+            int n = open && !handler.busy() ? read(loop.buffer()) : -1;
+            if (n > 0) {
+                handler.received(loop.bytes(), n);
+            } else if (n == 0) {
+                finish();
+            }
+        });
+    }
+
     /** Whether it is over because the peer closed or reset it, and not by a close from here. */
     public boolean closedByPeer() {
         synchronized (outbox) {
--- a/frontend/src/main/java/quincespar/transport/EventLoop.java
+++ b/frontend/src/main/java/quincespar/transport/EventLoop.java
@@ -86,6 +86,12 @@
         return channel.register(selector, ops, ready);
     }
 
+    /** Takes a channel off the loop before the next wait; on the loop's thread only, from a task. */
+    void forget(SelectionKey key) throws IOException {
+        key.cancel();
+        selector.selectNow(this::ready); // only a further look drops what was cancelled
+    }
+
     /** The buffer that all channels of this loop are read through, empty; on the loop's thread only. */
     ByteBuffer buffer() {
         return direct.clear();
--- a/frontend/src/main/java/quincespar/transport/Listener.java
+++ b/frontend/src/main/java/quincespar/transport/Listener.java
@@ -128,16 +128,20 @@
         }
     }
 
-    /** Accepts all that wait in the system's queue, room or not, and then no more; {@code closed} follows. */
+    /**
+     * Accepts all that wait in the system's queue, room or not, and then no more; {@code closed} follows. What comes
+     * between the last accept and the close is reset by the system: guards against more than a moment there. A channel
+     * that is still on the loop is closed by the loop's next look only, so it is taken off first.
+     */
     public void close(Runnable closed) {
         loop.execute(() -> {
             try {
+                if (key != null) {
+                    loop.forget(key);
+                }
                 while (key != null && acceptOne()) {
                     continue;
                 }
-                if (key != null) {
-                    key.cancel();
-                }
                 channel.close();
             } catch (IOException e) {
                 log.warn("listener: closing: {}", e.getMessage());
