--- a/frontend/src/main/java/quincespar/program/FrontEnd.java
+++ b/frontend/src/main/java/quincespar/program/FrontEnd.java
@@ -74,7 +74,7 @@
         } else {
             status = null;
         }
-        listener = new Listener(clientLoop, c.listen());
+        listener = new Listener(clientLoop, c.listen(), true);
         front = new ThriftFront(clientLoop, listener, c.site(), (int) (c.sockets() * CLIENT_SHARE), clock, counters,
                 inputs::addFromPeer, this::report);
         engines = new EngineLinks(engineLoop, c.site(), inputs::addFromPeer);
--- a/frontend/src/main/java/quincespar/program/StatusAddress.java
+++ b/frontend/src/main/java/quincespar/program/StatusAddress.java
@@ -46,7 +46,7 @@
         this.ready = ready;
         this.metrics = metrics;
         loop = new EventLoop("status");
-        listener = new Listener(loop, address);
+        listener = new Listener(loop, address, false);
         try {
             listener.bind();
         } catch (IOException | RuntimeException e) {
--- a/frontend/src/main/java/quincespar/transport/Listener.java
+++ b/frontend/src/main/java/quincespar/transport/Listener.java
@@ -43,15 +43,15 @@
     private SelectionKey key;
     private Taker taker;
 
-    /** A listener for an address, not yet bound. */
-    public Listener(EventLoop loop, InetSocketAddress address) throws IOException {
+    /** A listener for an address, not yet bound; {@code shared}: other processes of this user may listen there too. */
+    public Listener(EventLoop loop, InetSocketAddress address, boolean shared) throws IOException {
         this.loop = loop;
         this.address = address;
         channel = ServerSocketChannel.open();
         channel.configureBlocking(false);
         channel.setOption(StandardSocketOptions.SO_REUSEADDR, true); // a planned restart binds it again at once
         try {
-            channel.setOption(StandardSocketOptions.SO_REUSEPORT, true);
+            channel.setOption(StandardSocketOptions.SO_REUSEPORT, shared);
         } catch (IOException | UnsupportedOperationException e) { // then the address can't be shared, all else goes on
             log.info("listener: {} will not be shared: {}", address, e.getMessage());
         }
--- a/frontend/src/test/java/quincespar/program/Peers.java
+++ b/frontend/src/test/java/quincespar/program/Peers.java
@@ -10,6 +10,8 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -43,6 +45,30 @@
         }
     }
 
+    /** The status that a second address answers with; 0 where nothing answers. */
+    static int status(int port) {
+        try (Socket s = new Socket(InetAddress.getLoopbackAddress(), port)) {
+            s.setSoTimeout(10_000);
+            s.getOutputStream().write("GET /status HTTP/1.1\r\nHost: x\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+            String text = new String(s.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+            return text.startsWith("HTTP/1.1 ") ? Integer.parseInt(text.substring(9, 12)) : 0;
+        } catch (IOException e) {
+            return 0;
+        }
+    }
+
+    /** Waits for a second address's yes. */
+    static void untilReady(int port) {
+        while (status(port) != 200) {
+            Thread.onSpinWait();
+        }
+    }
+
+    /** SIGTERM. */
+    static void term(Process p) {
+        p.destroy();
+    }
+
     /** What a scripted peer does with one connection. */
     interface Script {
         void play(Socket socket) throws IOException;
@@ -208,6 +234,25 @@
             return all;
         }
 
+        /** Whether the other side has ended the connection, as far as is known here. */
+        boolean ended() throws IOException {
+            socket.setSoTimeout(1);
+            try {
+                return in.read() < 0;
+            } catch (SocketTimeoutException e) {
+                return false;
+            } catch (SocketException e) {
+                return true;
+            } finally {
+                socket.setSoTimeout(10_000);
+            }
+        }
+
+        /** Waits for the other side to end it; false where something else comes. */
+        boolean untilEnd() throws IOException {
+            return in.read() < 0;
+        }
+
         @Override
         public void close() throws IOException {
             socket.close();
--- a/frontend/src/test/java/quincespar/transport/ConnectionTest.java
+++ b/frontend/src/test/java/quincespar/transport/ConnectionTest.java
@@ -214,7 +214,7 @@
     void aListenerWithoutRoomLeavesClientsWaitingAndTakesAllOfThemBeforeItCloses() throws Exception {
         List<SocketChannel> taken = new ArrayList<>();
         BlockingQueue<Integer> sizes = new LinkedBlockingQueue<>();
-        Listener listener = new Listener(loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        Listener listener = new Listener(loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), false);
         listener.bind();
         listener.start(new Listener.Taker() {
             @Override
