--- a/frontend/src/main/java/quincespar/program/FrontEnd.java
+++ b/frontend/src/main/java/quincespar/program/FrontEnd.java
@@ -32,6 +32,12 @@
     private static final double SETTLE_MS = 300;
     /** Descriptors: a third is the clients' by the protocol; the rest covers theirs that linger, and ours. */
     private static final double CLIENT_SHARE = 0.45;
+    /**
+     * Beside an older process, which holds its part of one front end's descriptors until it ends: what clients hold at
+     * the most by the protocol, and a little less from which on they make room for each other.
+     */
+    private static final double BESIDE_SHARE = 1 / 3.0, BESIDE_REVIEW = 0.3;
+    private static final double BESIDE_LOOK_MS = 500;
 
     private final AtomicLong stepUs = new AtomicLong(), longestStepUs = new AtomicLong();
     private final Lifecycle lifecycle = new Lifecycle();
@@ -97,6 +103,11 @@
     }
 
     private void start() throws IOException {
+        if (siblings.beside()) {
+            inputs.add(new Input.Places(Math.min(bounds.callers(), (int) (configuration.sockets() * BESIDE_REVIEW))));
+            front.places((int) (configuration.sockets() * BESIDE_SHARE));
+            untilAlone();
+        }
         new Warmup(configuration, bounds, front).run();
         engineLoop.start();
         perform(reducer.start(clock.now(), configuration.changeLog(), configuration.known().events()));
@@ -117,6 +128,17 @@
         log.info("{}: serving on {}", configuration.name(), configuration.listen());
     }
 
+    private void untilAlone() {
+        timers.after(BESIDE_LOOK_MS, () -> {
+            if (siblings.beside()) {
+                untilAlone();
+            } else if (lifecycle.phase().compareTo(Phase.SERVING) <= 0) {
+                inputs.add(new Input.Places(bounds.callers()));
+                front.places((int) (configuration.sockets() * CLIENT_SHARE));
+            }
+        });
+    }
+
     private void publish() {
         lifecycle.listed(reducer.canServe());
         if (status != null) {
--- a/frontend/src/main/java/quincespar/program/ThriftFront.java
+++ b/frontend/src/main/java/quincespar/program/ThriftFront.java
@@ -94,6 +94,12 @@
         s.connection.start(s);
     }
 
+    /** So many connections may be held from now on. */
+    void places(int most) {
+        places = most;
+        listener.resume();
+    }
+
     /** At the end there is room for those in the system's queue too: what was sent on them would be lost. */
     void leave() {
         places += places / 5;
--- a/frontend/src/main/java/quincespar/routing/Input.java
+++ b/frontend/src/main/java/quincespar/routing/Input.java
@@ -47,6 +47,9 @@
     /** The change log did not answer, or with what can't be read. */
     record ChangesFailed(long serial, String cause) implements Input { }
 
+    /** So many clients' connections may be held from now on; more make room for each other. */
+    record Places(int callers) implements Input { }
+
     /** This process ends at that time whatever is open: each request has its answer by then. */
     record EndsAt(double time) implements Input { }
 
--- a/frontend/src/main/java/quincespar/routing/Reducer.java
+++ b/frontend/src/main/java/quincespar/routing/Reducer.java
@@ -58,6 +58,7 @@
     private long reread;
     private double decidedAt;
     private boolean tickAsked;
+    private int places;
     /** When this process ends, whatever is open then. */
     private double endsAt = Double.POSITIVE_INFINITY;
 
@@ -65,6 +66,7 @@
     public Reducer(Site site, Bounds bounds, Gateway gateway) {
         this.site = site;
         this.bounds = bounds;
+        places = bounds.callers();
         this.gateway = gateway;
         fleet = new Fleet(site);
         ledger.classes(site.classNames());
@@ -210,6 +212,8 @@
             follow(membership.answered(now, x.serial(), x.seq(), x.events()));
         } else if (i instanceof Input.ChangesFailed x) {
             follow(membership.failed(now, x.serial(), x.cause()));
+        } else if (i instanceof Input.Places x) {
+            places = x.callers();
         } else if (i instanceof Input.EndsAt x) {
             endsAt = x.time();
             callers.values().forEach(r -> startTimer(new TimerKey.Request(r.id), Math.min(r.last, endsAt) - now));
@@ -243,7 +247,7 @@
     private void callerUp(long connection) {
         fronts.up(connection);
         startTimer(new TimerKey.Front(connection), bounds.firstWordMs());
-        if (fronts.size() > bounds.callers()) {
+        if (fronts.size() > places) {
             long spare = fronts.spare(connection);
             closeCaller(spare, spare == connection ? "too many connections" : "its place is needed");
         }
--- a/frontend/src/test/java/quincespar/routing/ReducerTest.java
+++ b/frontend/src/test/java/quincespar/routing/ReducerTest.java
@@ -110,6 +110,30 @@
         assertThat(outcome()).isEqualTo(Outcome.OK);
     }
 
+    /** The system's own end would leave it without an answer: what is open has one before that, new ones too. */
+    @Test
+    void whatIsOpenIsAnsweredBeforeTheProcessEnds() {
+        Effect.Send s = sent(1);
+        begun(s);
+        step(new Input.EndsAt(now + 1010));
+        Effect.StartTimer end = last(Effect.StartTimer.class);
+        assertThat(end.key()).isEqualTo(new TimerKey.Request(requestNumber()));
+        assertThat(end.delayMs()).isEqualTo(1000);
+        step(new Input.Asked(new Caller(1, 2), new Query("00000000000000ab", 0, 0, 4000, false, 10, 0, 0, new byte[0]),
+                now + 10));
+        assertThat(of(Gateway.Request.class, told).get(1).patience()).isLessThan(1000); // the module knows of it
+        step(new Input.TimerFired(end.key()));
+        assertThat(last(Effect.Answer.class).reply()).isInstanceOf(Reply.Failed.class);
+    }
+
+    @Test
+    void fewerPlacesForClientsMakeThoseThatSayNothingMakeRoom() {
+        step(new Input.CallerUp(1), new Input.CallerUp(2));
+        step(new Input.Places(2));
+        step(new Input.CallerUp(3));
+        assertThat(last(Effect.CloseCaller.class).connection()).isEqualTo(1);
+    }
+
     @Test
     void aLostPageIsAnErrorThatRan() {
         Effect.Send s = sent(0);
--- /dev/null
+++ b/frontend/src/test/java/quincespar/routing/RouterWorld.java
@@ -0,0 +1,134 @@
+package quincespar.routing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import quincespar.decision.Brain;
+import quincespar.membership.Pace;
+import quincespar.protocol.FleetEvent;
+import quincespar.protocol.FleetEvent.Phase;
+import quincespar.transport.PassageAccess;
+
+/** One front end without sockets: engines that take all and answer when they are told to. */
+final class RouterWorld {
+    /** A class as settings list it. */
+    record Spec(String name, String effect) { }
+
+    static Site site(int attempts, Spec... specs) {
+        Map<String, String> pairs = new HashMap<>(Map.of("requestClasses.count", "" + specs.length, "tick", "1",
+                "limits.maxAttempts", "" + attempts, "limits.cancelling", "true", "projects.count", "1",
+                "projects.0.name", "acme", "projects.0.quotaPerS", "1000"));
+        for (int i = 0; i < specs.length; i++) {
+            pairs.putAll(Map.of("requestClasses." + i + ".name", specs[i].name(), "requestClasses." + i + ".slo", "800",
+                    "requestClasses." + i + ".hardLimit", "4000", "requestClasses." + i + ".effect", specs[i].effect()));
+        }
+        return Site.of(pairs);
+    }
+
+    final Map<Caller, Integer> answers = new HashMap<>();
+    final Map<Caller, String> effects = new HashMap<>();
+    final Map<Caller, Reply> replies = new HashMap<>();
+    final Map<String, Integer> sends = new HashMap<>();
+    final Map<String, Effect.Send> out = new LinkedHashMap<>();
+    final List<Effect> all = new ArrayList<>();
+    final Reducer reducer;
+    Site site;
+    double now = 1000;
+    int asked;
+    private long poll;
+    private long seq = 1;
+
+    RouterWorld(Site start) {
+        site = start;
+        reducer = new Reducer(site, new Bounds(100, 1000, 2000, 2500, 8, 8, 500,
+                new Pace(2000, 1000, 250, 1000, 10_000)), new Brain(site.module(), 7));
+        follow(reducer.start(now, "127.0.0.1:1", List.of(new FleetEvent(1, 1, true,
+                List.of(member("s-1", Phase.UP), member("s-2", Phase.UP))))));
+    }
+
+    static FleetEvent.Member member(String id, Phase phase) {
+        return new FleetEvent.Member(id, "127.0.0.1:1", "", "", 0, phase, 1, 0);
+    }
+
+    /** The change log's next word. */
+    void changes(FleetEvent.Member... members) {
+        step(new Input.Changes(poll, ++seq, List.of(new FleetEvent(seq, seq, false, List.of(members)))));
+    }
+
+    void step(Input... inputs) {
+        now += 5;
+        follow(reducer.step(now, List.of(inputs)));
+    }
+
+    void follow(List<Effect> effects) {
+        all.addAll(effects);
+        List<Input> next = new ArrayList<>();
+        for (Effect e : effects) {
+            if (e instanceof Effect.OpenLink x) {
+                next.add(new Input.LinkUp(x.link()));
+            } else if (e instanceof Effect.Send x) {
+                assertThat(out).as("two at once").doesNotContainKey(x.txn());
+                PassageAccess.begin(x.passage());
+                next.add(new Input.SendWritten(x.key()));
+                sends.merge(x.txn(), 1, Integer::sum);
+                out.put(x.txn(), x);
+            } else if (e instanceof Effect.Cancel x) {
+                out.remove(x.txn());
+                next.add(new Input.CancelWritten(x.key()));
+            } else if (e instanceof Effect.Answer x) {
+                answers.merge(x.caller(), 1, Integer::sum);
+                replies.put(x.caller(), x.reply());
+            } else if (e instanceof Effect.Poll x) {
+                poll = x.serial();
+            } else if (e instanceof Effect.CloseLink x) {
+                out.values().removeIf(s -> s.link() == x.link());
+            } else if (e instanceof Effect.Adopt x) {
+                site = x.site();
+            } else if (e instanceof Effect.Uncaught x) {
+                throw new AssertionError(x.where(), x.error());
+            }
+        }
+        if (!next.isEmpty()) {
+            step(next.toArray(new Input[0]));
+        }
+    }
+
+    Caller ask(String cls) {
+        Caller c = new Caller(1, ++asked);
+        int number = site.classes().get(cls);
+        effects.put(c, site.module().classes().get(number).effect().name());
+        step(new Input.Asked(c, new Query(String.format("%016x", asked), number, 0, 4000, false, 10, 0, 0, new byte[0]),
+                now));
+        return c;
+    }
+
+    void retune(Site to) {
+        step(new Input.Hangup());
+        List<Effect.Reread> rereads = all.stream().filter(Effect.Reread.class::isInstance).map(Effect.Reread.class::cast)
+                .toList();
+        step(new Input.Reconfigured(rereads.get(rereads.size() - 1).serial(), "127.0.0.1:1", to));
+    }
+
+    /** An engine's word on one of what it holds. */
+    void say(int which, boolean served) {
+        Effect.Send s = List.copyOf(out.values()).get(which % out.size());
+        out.remove(s.txn());
+        step(new Input.Said(s.link(), served ? new EngineNews.Done(s.txn(), 1, new byte[] {'r'}, List.of())
+                : new EngineNews.Broke(s.txn(), List.of())));
+    }
+
+    /** Time goes on until all that is open has had its answer, at the latest when its client gives up. */
+    void settle() {
+        for (int i = 0; i < 2000 && (reducer.open() > 0 || !out.isEmpty()); i++) {
+            if (!out.isEmpty()) {
+                say(0, true);
+            } else {
+                step(new Input.TimerFired(new TimerKey.Module(1, i)));
+            }
+        }
+    }
+}
--- a/frontend/src/test/java/quincespar/transport/ConnectionTest.java
+++ b/frontend/src/test/java/quincespar/transport/ConnectionTest.java
@@ -1,6 +1,7 @@
 package quincespar.transport;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.io.IOException;
 import java.io.OutputStream;
@@ -102,6 +103,48 @@
         }
     }
 
+    /** Ended at a quiet moment only: not while something is open, nor where something lies unread. */
+    @Test
+    void aConnectionIsFinishedOnceItIsQuietAndItsLastWordArrives() throws Exception {
+        try (Socket s = peer()) {
+            Connection c = accepted(new OutboxBound(100, 100));
+            busy = true;
+            c.start(handler);
+            c.finishIfQuiet();
+            s.getOutputStream().write(1);
+            assertThat(told.take()).isEqualTo("received 1"); // it was busy and is still read
+            busy = false;
+            CountDownLatch hold = new CountDownLatch(1);
+            loop.execute(() -> await(hold));
+            s.getOutputStream().write(2); // lies unread when the close is to be judged
+            c.finishIfQuiet();
+            hold.countDown();
+            assertThat(told.take()).isEqualTo("received 1");
+            c.send(new byte[] {7});
+            c.finishIfQuiet();
+            assertThat(s.getInputStream().readAllBytes()).containsExactly(7);
+            closed.await();
+        }
+    }
+
+    /** Two listeners of one user on one address: the system shares connections out; else the second can't bind. */
+    @Test
+    void aSharedAddressIsBoundTwiceAndAnotherOnlyOnce() throws Exception {
+        for (boolean shared : new boolean[] {true, false}) {
+            Listener first = new Listener(loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), shared);
+            first.bind();
+            Listener second = new Listener(loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), first.port()),
+                    shared);
+            if (shared) {
+                second.bind();
+            } else {
+                assertThatThrownBy(second::bind).isInstanceOf(IOException.class);
+            }
+            first.close(() -> { });
+            second.close(() -> { });
+        }
+    }
+
     @Test
     void aConnectThatFailsFreesTheRoomOfWhatWasQueued() throws Exception {
         OutboxBound bound = new OutboxBound(100, 100);
