--- a/decision/src/main/java/quincespar/decision/Brain.java
+++ b/decision/src/main/java/quincespar/decision/Brain.java
@@ -90,7 +90,7 @@
         watchWait = Math.min(1000, set.rules().askEvery() / 8);
     }
 
-    /** Settings bind from here on. A class keeps its number and what was learned, open queries their terms. */
+    /** Settings bind now. A class keeps its number and what was learned, open queries their terms. */
     private void adopt(Configured c) {
         set = c.settings();
         int known = kinds.length, n = set.classes().size() * 2;
--- a/frontend/src/main/java/quincespar/program/FrontEnd.java
+++ b/frontend/src/main/java/quincespar/program/FrontEnd.java
@@ -75,7 +75,8 @@
         bounds = c.bounds(settings);
         reducer = new Reducer(c.site(), bounds, new Brain(c.site().module(), c.seed()));
         if (c.admin() != null) { // first, so that its "not ready" is heard while the rest starts
-            status = new StatusAddress(c.admin(), timers, lifecycle::ready, () -> Exposition.text(figures));
+            status = new StatusAddress(c.admin(), timers, StatusAddress.LONGEST_MS, lifecycle::ready,
+                    () -> Exposition.text(figures));
             status.start();
         } else {
             status = null;
--- a/frontend/src/main/java/quincespar/program/StatusAddress.java
+++ b/frontend/src/main/java/quincespar/program/StatusAddress.java
@@ -27,8 +27,8 @@
 final class StatusAddress implements Listener.Taker {
     /** Callers at a time; so many descriptors at the most. */
     private static final int MOST = 24;
-    /** How long a call may take, from the connect to its last byte. */
-    private static final double LONGEST_MS = 5000;
+    /** How long a call may take, from the connect to its last byte, in milliseconds. */
+    static final double LONGEST_MS = 5000;
     private static final int OUTBOX = 256 * 1024;
 
     private final Set<Call> calls = new LinkedHashSet<>(); // the longest there first
@@ -36,13 +36,15 @@
     private final EventLoop loop;
     private final Listener listener;
     private final Timers timers;
+    private final double longestMs;
     private final BooleanSupplier ready;
     private final Supplier<String> metrics;
 
     /** Binds the address; throws {@link IOException} where it can't be. */
-    StatusAddress(InetSocketAddress address, Timers timers, BooleanSupplier ready, Supplier<String> metrics)
-            throws IOException {
+    StatusAddress(InetSocketAddress address, Timers timers, double longestMs, BooleanSupplier ready,
+            Supplier<String> metrics) throws IOException {
         this.timers = timers;
+        this.longestMs = longestMs;
         this.ready = ready;
         this.metrics = metrics;
         loop = new EventLoop("status");
@@ -122,7 +124,7 @@
 
         Call(Connection connection) {
             this.connection = connection;
-            end = timers.after(LONGEST_MS, () -> connection.close("no call in time"));
+            end = timers.after(longestMs, () -> connection.close("no call in time"));
         }
 
         @Override
--- a/frontend/src/test/java/quincespar/membership/FleetCallsTest.java
+++ b/frontend/src/test/java/quincespar/membership/FleetCallsTest.java
@@ -13,11 +13,11 @@
 import quincespar.protocol.FleetEvent.Phase;
 
 /**
- * What fourteen front ends ask of one change log in a minute, whatever is wrong with it: at most one call a second each,
+ * What a hundred front ends ask of one change log in a minute, whatever is wrong with it: at most one call a second each,
  * and four more while the pauses grow. Virtual time in steps of 10 ms.
  */
 class FleetCallsTest {
-    private static final int FRONTS = 14, MINUTE = 60_000;
+    private static final int FRONTS = 100, MINUTE = 60_000;
     private static final Pace PACE = new Pace(2000, 1000, 250, 1000, 10_000);
 
     /** Takes calls and says nothing; breaks them off at once; answers late with no news. */
--- a/frontend/src/test/java/quincespar/program/StatusAddressTest.java
+++ b/frontend/src/test/java/quincespar/program/StatusAddressTest.java
@@ -8,6 +8,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -24,9 +25,13 @@
 
     @BeforeEach
     void start() throws IOException {
+        start(3_600_000);
+    }
+
+    private void start(double longestMs) throws IOException {
         port = Peers.freePort();
-        new StatusAddress(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), new Timers(i -> { }), ready::get,
-                () -> "gw_current 3\n").start();
+        new StatusAddress(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), new Timers(i -> { }), longestMs,
+                ready::get, () -> "gw_current 3\n").start();
     }
 
     private Socket connect() throws IOException {
@@ -99,6 +104,8 @@
     private static boolean ended(Socket s) {
         try {
             return s.getInputStream().read() < 0;
+        } catch (SocketTimeoutException e) {
+            return false;
         } catch (IOException e) {
             return true;
         }
@@ -106,6 +113,7 @@
 
     @Test
     void aCallerThatNeverFinishesIsClosedInTime() throws IOException {
+        start(50);
         try (Socket s = connect()) {
             s.getOutputStream().write('G');
             assertThat(ended(s)).isTrue();
@@ -116,7 +124,7 @@
     void anAddressThatCannotBeBoundIsToldInOneLine() throws IOException {
         try (ServerSocket taken = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             assertThatThrownBy(() -> new StatusAddress(new InetSocketAddress("127.0.0.1",
-                    taken.getLocalPort()), new Timers(i -> { }), ready::get, () -> "")).isInstanceOf(IOException.class)
+                    taken.getLocalPort()), new Timers(i -> { }), 50, ready::get, () -> "")).isInstanceOf(IOException.class)
                     .hasMessageContaining("admin_addr 127.0.0.1:").message().hasLineCount(1);
         }
     }
--- a/frontend/src/test/java/quincespar/transport/ConnectionTest.java
+++ b/frontend/src/test/java/quincespar/transport/ConnectionTest.java
@@ -111,11 +111,19 @@
             busy = true;
             c.start(handler);
             c.finishIfQuiet();
+            CountDownLatch looked = new CountDownLatch(1);
+            loop.execute(looked::countDown);
+            looked.await();
             s.getOutputStream().write(1);
             assertThat(told.take()).isEqualTo("received 1"); // it was busy and is still read
             busy = false;
+            CountDownLatch held = new CountDownLatch(1);
             CountDownLatch hold = new CountDownLatch(1);
-            loop.execute(() -> await(hold));
+            loop.execute(() -> { // one task, so that nothing is read between the two
+                held.countDown();
+                await(hold);
+            });
+            held.await();
             s.getOutputStream().write(2); // lies unread when the close is to be judged
             c.finishIfQuiet();
             hold.countDown();
