Archive the classes that a start loads, and hold the figures against what scripted peers saw

Need: a new version's yes is due within 6 s on a part of a core, and a third of a start's processor time was the loading of classes.

FiguresStoryTest: served, refused and failed requests, spoilt answers, lost links, loads that may have run, clients that go, counted on both sides. StoriesTest: the clients' address is bound by the start and not before.

--- a/frontend/src/main/java/quincespar/program/FrontEnd.java
+++ b/frontend/src/main/java/quincespar/program/FrontEnd.java
@@ -103,6 +103,16 @@
         }
     }
 
+    /** Waits until it serves, or has ended without. */
+    void awaitServing() throws InterruptedException {
+        lifecycle.await(Phase.SERVING);
+    }
+
+    /** The port of the clients' address, once it serves. */
+    int port() throws IOException {
+        return listener.port();
+    }
+
     private void start() throws IOException {
         if (siblings.beside()) {
             inputs.add(new Input.Places(Math.min(bounds.callers(), (int) (configuration.sockets() * BESIDE_REVIEW))));
--- a/frontend/src/main/java/quincespar/program/Main.java
+++ b/frontend/src/main/java/quincespar/program/Main.java
@@ -137,6 +137,13 @@
         return 0;
     }
 
+    @Command(name = "rehearse", description = "Start and end once on loopback, for the build to archive what a start"
+            + " loads.")
+    int rehearse() throws IOException, InterruptedException {
+        Rehearsal.play();
+        return 0;
+    }
+
     private static Settings read(Path conf) throws IOException, ConfException {
         try {
             return ConfReader.read(conf.toString(), Files.readString(conf));
--- /dev/null
+++ b/frontend/src/test/java/quincespar/program/FiguresStoryTest.java
@@ -0,0 +1,139 @@
+package quincespar.program;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import quincespar.settings.Settings;
+
+/** The figures against what scripted peers saw: once all is quiet they agree exactly. */
+@Timeout(60)
+class FiguresStoryTest {
+    private final Map<String, Integer> seen = new HashMap<>();
+    private Peers.Engine engine;
+    private int admin;
+    private int port;
+    private int asked;
+
+    private void start(Path folder) throws Exception {
+        engine = new Peers.Engine();
+        Peers.Changes changes = new Peers.Changes();
+        port = Peers.freePort();
+        admin = Peers.freePort();
+        Path file = Files.writeString(folder.resolve("config.json"), """
+            {"name":"n1","listen":"127.0.0.1:%d","admin_addr":"127.0.0.1:%d","seed":"1","limits":{"sockets":128},
+             "changelog":"127.0.0.1:%d","known":{"seq":1,"results":[{"seq":1,"fleet":{"revision":1,"complete":true,
+             "members":[{"id":"s-1","host_port":"127.0.0.1:%d","phase":"up","size":4},
+             {"id":"s-2","host_port":"127.0.0.1:1","phase":"draining","size":4}]}}]},
+             "settings":{"tick":1,"limits":{"cancelling":true,"maxAttempts":1,"maxStreams":100},
+             "projects":[{"name":"acme","quotaPerS":500,"share":1}],"requestClasses":[
+             {"name":"lookup","slo":2000,"hardLimit":4000,"effect":"safe","points":1},
+             {"name":"load","slo":2000,"hardLimit":4000,"effect":"unsafe","points":1}]}}
+            """.formatted(port, admin, changes.server.getLocalPort(), engine.server.getLocalPort()));
+        FrontEnd frontEnd = new FrontEnd(Map.of("GW_CONFIG", file.toString()), Settings.defaults(),
+                Logs.start(Settings.defaults()));
+        Thread running = new Thread(() -> {
+            try {
+                frontEnd.run();
+            } catch (IOException | InterruptedException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        running.setDaemon(true);
+        running.start();
+        Peers.untilReady(admin);
+    }
+
+    private Map<String, String> fields(String verb) {
+        return Map.of("verb", verb, "txn", String.format("%016x", ++asked), "limit", "3000", "team", "acme", "cpu", "10.0",
+                "heap_mb", "1");
+    }
+
+    /** Has one request sent, and takes it at the engine. */
+    private Peers.Engine.Command taken(Peers.Client c, String verb) throws Exception {
+        c.call(1, fields(verb));
+        Peers.Engine.Command serve = engine.next("serve");
+        seen.merge("sends", 1, Integer::sum);
+        return serve;
+    }
+
+    /** What the client was told: a result, Busy, or Failed, by the number of the answer's field. */
+    private void told(Peers.Client c, String verb) throws IOException {
+        byte[] frame = c.frame(); // strict binary: version and type, name, number, then the field's type and number
+        int name = frame[7];
+        int field = frame[8 + name + 4 + 2];
+        seen.merge(verb + (field == 0 ? ".answered" : field == 1 ? ".deferred" : ".errored"), 1, Integer::sum);
+    }
+
+    private Map<String, String> figures() throws IOException {
+        try (Socket s = new Socket(InetAddress.getLoopbackAddress(), admin)) {
+            s.getOutputStream().write("GET /status/metrics HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+            Map<String, String> out = new HashMap<>();
+            new String(s.getInputStream().readAllBytes(), StandardCharsets.UTF_8).lines().filter(l -> l.startsWith("gw_"))
+                    .forEach(l -> out.put(l.substring(0, l.lastIndexOf(' ')), l.substring(l.lastIndexOf(' ') + 1)));
+            return out;
+        }
+    }
+
+    @Test
+    void theFiguresAreWhatPeersSaw(@TempDir Path folder) throws Exception {
+        start(folder);
+        for (String verb : new String[] {"lookup", "load", "lookup"}) {
+            try (Peers.Client c = new Peers.Client(port)) { // served
+                Peers.Engine.Command serve = taken(c, verb);
+                serve.answer(serve.id(), "DONE", "count=1", "row\ta\tb\n");
+                told(c, verb);
+            }
+            try (Peers.Client c = new Peers.Client(port)) { // an error: it may have run, and one attempt is all
+                Peers.Engine.Command serve = taken(c, verb);
+                serve.answer(serve.id(), "BROKE", "-", "");
+                told(c, verb);
+            }
+            try (Peers.Client c = new Peers.Client(port)) { // turned away by the engine: it never ran
+                Peers.Engine.Command serve = taken(c, verb);
+                serve.answer(serve.id(), "WAIT", "-", "");
+                told(c, verb);
+            }
+            try (Peers.Client c = new Peers.Client(port)) { // a spoilt answer
+                taken(c, verb).raw("+nonsense\r\n");
+                told(c, verb);
+            }
+            try (Peers.Client c = new Peers.Client(port)) { // a lost link
+                taken(c, verb).from().close();
+                told(c, verb);
+            }
+            try (Peers.Client c = new Peers.Client(port)) { // one that goes away: in none of the states
+                taken(c, verb);
+            }
+            assertThat(engine.next("cancel")).isNotNull();
+        }
+        try (Peers.Client c = new Peers.Client(port)) { // open: taken, and not ended
+            taken(c, "load");
+            while (!figures().get("gw_current").equals("1")) {
+                Thread.onSpinWait();
+            }
+        }
+        while (!figures().get("gw_current").equals("0")) {
+            Thread.onSpinWait();
+        }
+        Map<String, String> told = figures();
+        for (String verb : new String[] {"lookup", "load"}) {
+            for (String state : new String[] {"answered", "deferred", "errored"}) {
+                assertThat(told).containsEntry("gw_transactions_total{group=\"" + verb + "\",state=\"" + state + "\"}",
+                        "" + seen.getOrDefault(verb + "." + state, 0));
+            }
+        }
+        assertThat(told).containsEntry("gw_sends_total", "" + seen.get("sends")).containsEntry("gw_cluster_size", "2")
+                .containsEntry("gw_cluster_unhealthy", "0").containsEntry("gw_conf_loaded_total", "0");
+        assertThat(seen).containsKeys("lookup.answered", "lookup.deferred", "load.answered", "load.deferred", "load.errored");
+    }
+}
--- a/frontend/src/test/java/quincespar/program/StoriesTest.java
+++ b/frontend/src/test/java/quincespar/program/StoriesTest.java
@@ -221,6 +221,18 @@
         }
     }
 
+    /** Bound early, it would be handed connections that wait until the warm-up is over, beside a process that could serve. */
+    @Test
+    void theClientsAddressIsBoundByTheStartAndNotBefore(@TempDir Path folder) throws Exception {
+        int other = Peers.freePort();
+        Path copy = Files.writeString(folder.resolve("config.json"), Files.readString(file).replace(
+                "127.0.0.1:" + port + "\"", "127.0.0.1:" + other + "\""));
+        FrontEnd waiting = new FrontEnd(Map.of("GW_CONFIG", copy.toString()), Settings.defaults(),
+                Logs.start(Settings.defaults()));
+        assertThatThrownBy(() -> new Peers.Client(other)).isInstanceOf(java.net.ConnectException.class);
+        waiting.leave(); // it has taken nothing, so it ends at once
+    }
+
     @Test
     void aBadConfigurationIsToldInOneLine(@TempDir Path folder) throws IOException {
         Path file = Files.writeString(folder.resolve("bad.json"), "{\"listen\":\"127.0.0.1:1\"");
