--- a/frontend/src/test/java/quincespar/program/Peers.java
+++ b/frontend/src/test/java/quincespar/program/Peers.java
@@ -40,11 +40,19 @@
                     return;
                 }
             } catch (IOException e) { // not yet bound
-                Thread.onSpinWait();
+                goOnWaiting();
             }
         }
     }
 
+    /** Guards against a wait that never ends where the front end did not come up: a test's time-out interrupts it. */
+    private static void goOnWaiting() {
+        if (Thread.currentThread().isInterrupted()) {
+            throw new AssertionError("the front end did not come up in time");
+        }
+        Thread.onSpinWait();
+    }
+
     /** The status that a second address answers with; 0 where nothing answers. */
     static int status(int port) {
         try (Socket s = new Socket(InetAddress.getLoopbackAddress(), port)) {
@@ -60,7 +68,7 @@
     /** Waits for a second address's yes. */
     static void untilReady(int port) {
         while (status(port) != 200) {
-            Thread.onSpinWait();
+            goOnWaiting();
         }
     }
 
