Let waits in the program's tests end with their time-outs, also before the stories

Cause: a class's time-out covers its test methods and not BeforeAll and AfterAll, and loops that wait for a condition took no notice of the interrupt.

Change: the loops go through Peers.goOnWaiting, which ends on an interrupt; StoriesTest's start and end have time-outs of their own. Assertions are as they were.

Ruled out: a change to the program, none is made.

--- a/frontend/src/test/java/quincespar/program/FiguresStoryTest.java
+++ b/frontend/src/test/java/quincespar/program/FiguresStoryTest.java
@@ -119,11 +119,11 @@
         try (Peers.Client c = new Peers.Client(port)) { // open: taken, and not ended
             taken(c, "load");
             while (!figures().get("gw_current").equals("1")) {
-                Thread.onSpinWait();
+                Peers.goOnWaiting();
             }
         }
         while (!figures().get("gw_current").equals("0")) {
-            Thread.onSpinWait();
+            Peers.goOnWaiting();
         }
         Map<String, String> told = figures();
         for (String verb : new String[] {"lookup", "load"}) {
--- a/frontend/src/test/java/quincespar/program/Peers.java
+++ b/frontend/src/test/java/quincespar/program/Peers.java
@@ -40,15 +40,16 @@
                     return;
                 }
             } catch (IOException e) { // not yet bound
-                goOnWaiting();
+                Thread.onSpinWait();
             }
+            goOnWaiting();
         }
     }
 
-    /** Guards against a wait that never ends where the front end did not come up: a test's time-out interrupts it. */
-    private static void goOnWaiting() {
+    /** Between two looks at a condition. Guards against a wait without end: a test's time-out interrupts it. */
+    static void goOnWaiting() {
         if (Thread.currentThread().isInterrupted()) {
-            throw new AssertionError("the front end did not come up in time");
+            throw new AssertionError("what is waited for did not come in time");
         }
         Thread.onSpinWait();
     }
--- a/frontend/src/test/java/quincespar/program/RestartTest.java
+++ b/frontend/src/test/java/quincespar/program/RestartTest.java
@@ -70,7 +70,7 @@
             clients.add(pool.submit(() -> client(port, number)));
         }
         while (answered.get() < 5 * CLIENTS) {
-            Thread.onSpinWait();
+            Peers.goOnWaiting();
         }
         Future<?> leaving = pool.submit(() -> {
             frontEnd.leave();
@@ -78,7 +78,7 @@
         });
         int before = answered.get();
         while (answered.get() < before + CLIENTS) { // requests keep coming for a while after the word to stop
-            Thread.onSpinWait();
+            Peers.goOnWaiting();
         }
         stopping.set(true);
         join(clients);
--- a/frontend/src/test/java/quincespar/program/StoriesTest.java
+++ b/frontend/src/test/java/quincespar/program/StoriesTest.java
@@ -34,6 +34,7 @@
     private int port;
 
     @BeforeAll
+    @Timeout(60) // the class's own is for its stories only
     void start(@TempDir Path folder) throws Exception {
         engine = new Peers.Engine();
         changes = new Peers.Changes();
@@ -64,6 +65,7 @@
 
     /** Last, so that it is a story too: what was taken before the word to stop is answered after it. */
     @AfterAll
+    @Timeout(60)
     void whatWasTakenIsAnsweredBeforeTheEnd() throws Exception {
         try (Peers.Client c = new Peers.Client(port)) {
             c.call(1, lookup());
@@ -77,7 +79,7 @@
             });
             leaving.start();
             while (c.healthy()) {
-                Thread.onSpinWait();
+                Peers.goOnWaiting();
             }
             try (Peers.Client late = new Peers.Client(port)) { // clients come for a while yet
                 late.call(1, with("txn", "00000000000000bb"));
@@ -137,7 +139,7 @@
             assertThatThrownBy(silent::frame).isInstanceOf(IOException.class); // it has said nothing for too long
             try (Peers.Client again = new Peers.Client(port)) {
                 while (!again.counters().containsKey("closed.nothing_open")) { // counted once the socket is closed
-                    Thread.onSpinWait();
+                    Peers.goOnWaiting();
                 }
             }
         }
@@ -204,7 +206,7 @@
         frontEnd.hangup();
         try (Peers.Client c = new Peers.Client(port)) {
             while (!c.counters().get("configurations.refused").equals("1")) {
-                Thread.onSpinWait();
+                Peers.goOnWaiting();
             }
         }
         Files.writeString(file, old.replace("\"changelog\":\"127.0.0.1:" + changes.server.getLocalPort(),
@@ -214,7 +216,7 @@
         Files.writeString(file, old);
         frontEnd.hangup(); // and back again, as the other stories need the old one
         while (changes.questions.poll(10, java.util.concurrent.TimeUnit.MILLISECONDS) == null) {
-            Thread.onSpinWait();
+            Peers.goOnWaiting();
         }
         try (Peers.Client c = new Peers.Client(port)) {
             assertThat(c.healthy()).isTrue();
--- a/frontend/src/test/java/quincespar/program/UpgradeIT.java
+++ b/frontend/src/test/java/quincespar/program/UpgradeIT.java
@@ -158,7 +158,7 @@
     private void untilAnswered(int more) {
         int before = answered.get();
         while (answered.get() < before + more) {
-            Thread.onSpinWait();
+            Peers.goOnWaiting();
         }
     }
 
