Wait until the log's writer is stuck before its test counts what is dropped

The writer takes one line and then, before it writes, all that is queued; where it woke only after the queue had filled, 16 places were free again within the loop, and the last lines found room. The test took that for a fault. Change: the test waits until the writer stands in its first write, then logs 100 lines and expects exactly 84 dropped and the first 16 written. Nothing in the program changes. Ruled out: the count of dropped lines (16 + 3 written + 81 dropped add up to 100 in the failed run).

--- a/frontend/src/test/java/quincespar/program/LogsTest.java
+++ b/frontend/src/test/java/quincespar/program/LogsTest.java
@@ -55,10 +55,12 @@
     @Test
     void aReaderOfTheLogThatStopsHoldsUpNobody() throws Exception {
         CountDownLatch reads = new CountDownLatch(1);
+        CountDownLatch stuck = new CountDownLatch(1);
         System.setErr(new PrintStream(new OutputStream() {
             @Override
             public void write(int b) {
                 boolean interrupted = false;
+                stuck.countDown();
                 while (reads.getCount() > 0) { // as a pipe that is full: an interrupt does not end the write
                     try {
                         reads.await();
@@ -73,15 +75,17 @@
             }
         }, true, StandardCharsets.UTF_8));
         Logs logs = Logs.start(ConfReader.read("f", "log {\n queue 16\n}\n"));
+        log.info("the first line");
+        stuck.await(); // the writer takes all that is queued when it wakes: only once it is stuck do places stay taken
         for (int i = 0; i < 100; i++) {
             log.info("line {}", i);
         }
-        assertThat(logs.dropped()).isPositive();
+        assertThat(logs.dropped()).isEqualTo(100 - 16);
         reads.countDown();
         logs.stop();
         String lines = written.toString(StandardCharsets.UTF_8);
-        assertThat(lines).contains("line 0\n").doesNotContain("line 99\n");
-        assertThat(lines.lines().count() + logs.dropped()).isEqualTo(100);
+        assertThat(lines).contains("the first line\n", "line 15\n").doesNotContain("line 16\n", "line 99\n");
+        assertThat(lines.lines().count() + logs.dropped()).isEqualTo(101);
     }
 
     @Test
