Hold a new file against the one that was taken, not one that a later SIGHUP overtook

Cause: FrontEnd.reread kept the document that it had read as 'in force' before the reducer had taken it. Where a second SIGHUP came first, the reducer dropped the first file (Input.Reconfigured with an older serial), but the next was still held against it, and turned down for lacking a key that no file in force had. Change: Input.Reconfigured carries its document and Effect.InForce gives it back when it is taken, on the reducer's own thread; a reading gets the document in force at its start. No lock is needed any more. Not taken: reading one file at a time behind a queue, as the last file only is of interest.

--- a/frontend/src/main/java/quincespar/program/FrontEnd.java
+++ b/frontend/src/main/java/quincespar/program/FrontEnd.java
@@ -48,7 +48,7 @@
     private final Map<String, String> environment;
     private final Logs logs;
     private final Configuration configuration;
-    /** The document that was taken last: a new one must not lack what it has. */
+    /** The document that was taken last, on the reducer's thread: a new one must not lack what it has. */
     private Map<String, Object> inForce;
     private final Bounds bounds;
     private final Reducer reducer;
@@ -216,12 +216,12 @@
         inputs.add(new Input.Hangup());
     }
 
-    /** One at a time: each is held against the one that was taken before it. */
-    private synchronized void reread(long serial) {
+    /** Holds the file as it is now against what is in force; of several at once the reducer takes the last one only. */
+    private void reread(long serial, Map<String, Object> held) {
         try {
-            ConfigurationCheck.Good read = Configuration.read(environment, inForce);
-            inForce = read.document();
-            inputs.add(new Input.Reconfigured(serial, read.configuration().changeLog(), read.configuration().site()));
+            ConfigurationCheck.Good read = Configuration.read(environment, held);
+            inputs.add(new Input.Reconfigured(serial, read.configuration().changeLog(), read.configuration().site(),
+                    read.document()));
         } catch (RuntimeException e) { // whatever is wrong with the new file, the old one stays in force
             inputs.add(new Input.ReconfigureFailed(serial, e.getMessage()));
         }
@@ -296,7 +296,10 @@
         } else if (effect instanceof Effect.Uncaught e) {
             uncaught(e.where(), e.error());
         } else if (effect instanceof Effect.Reread e) {
-            Threads.daemon("reread", () -> reread(e.serial())).start();
+            Map<String, Object> held = inForce;
+            Threads.daemon("reread", () -> reread(e.serial(), held)).start();
+        } else if (effect instanceof Effect.InForce e) {
+            inForce = e.document();
         } else if (effect instanceof Effect.Adopt e) {
             front.adopt(e.site());
             engines.adopt(e.site());
--- a/frontend/src/main/java/quincespar/routing/Effect.java
+++ b/frontend/src/main/java/quincespar/routing/Effect.java
@@ -1,5 +1,6 @@
 package quincespar.routing;
 
+import java.util.Map;
 import quincespar.transport.Passage;
 
 /** Something that the reducer asks to be done. None of it waits. */
@@ -47,6 +48,9 @@
     /** Read the configuration again. */
     record Reread(long serial) implements Effect { }
 
+    /** This document is the one in force: the next is held against it. */
+    record InForce(Map<String, Object> document) implements Effect { }
+
     /** New settings bind: requests are read by them from now on. */
     record Adopt(Site site) implements Effect { }
 
--- a/frontend/src/main/java/quincespar/routing/Input.java
+++ b/frontend/src/main/java/quincespar/routing/Input.java
@@ -1,6 +1,7 @@
 package quincespar.routing;
 
 import java.util.List;
+import java.util.Map;
 import quincespar.protocol.FleetEvent;
 
 /** Something that happened outside the reducer. */
@@ -56,8 +57,11 @@
     /** The operators say that the configuration has been replaced. */
     record Hangup() implements Input { }
 
-    /** The new configuration can be used; {@code changeLog} is where the change log is from now on. */
-    record Reconfigured(long serial, String changeLog, Site site) implements Input { }
+    /**
+     * The new configuration can be used; {@code changeLog} is where the change log is from now on. The {@code document} is
+     * what it was read from, given back as {@link Effect.InForce} if it is taken.
+     */
+    record Reconfigured(long serial, String changeLog, Site site, Map<String, Object> document) implements Input { }
 
     /** The new configuration can't be used. */
     record ReconfigureFailed(long serial, String cause) implements Input { }
--- a/frontend/src/main/java/quincespar/routing/Reducer.java
+++ b/frontend/src/main/java/quincespar/routing/Reducer.java
@@ -222,6 +222,7 @@
             effects.add(new Effect.Reread(reread));
         } else if (i instanceof Input.Reconfigured x && x.serial() == reread) {
             ledger.loaded();
+            effects.add(new Effect.InForce(x.document()));
             // requests, links and the fleet stay as they are; the file may be replaced again soon, the last one counts
             adopt(x.site().following(site));
             follow(membership.moved(now, x.changeLog()));
--- a/frontend/src/test/java/quincespar/routing/ReducerTest.java
+++ b/frontend/src/test/java/quincespar/routing/ReducerTest.java
@@ -285,8 +285,8 @@
         Effect.Send s = sent(0);
         step(new Input.Hangup(), new Input.Hangup()); // the file may be replaced again at once: the last counts
         List<Effect.Reread> rereads = of(Effect.Reread.class, effects);
-        step(new Input.Reconfigured(rereads.get(1).serial(), "127.0.0.1:2", Site.of(pairs)),
-                new Input.Reconfigured(rereads.get(0).serial(), "127.0.0.1:3", Site.of(pairs)));
+        step(new Input.Reconfigured(rereads.get(1).serial(), "127.0.0.1:2", Site.of(pairs), Map.of()),
+                new Input.Reconfigured(rereads.get(0).serial(), "127.0.0.1:3", Site.of(pairs), Map.of()));
         Effect.Poll poll = last(Effect.Poll.class);
         assertThat(poll.address()).isEqualTo("127.0.0.1:2");
         assertThat(poll.since()).isEqualTo(1);
--- a/frontend/src/test/java/quincespar/routing/RouterWorld.java
+++ b/frontend/src/test/java/quincespar/routing/RouterWorld.java
@@ -110,7 +110,7 @@
         step(new Input.Hangup());
         List<Effect.Reread> rereads = all.stream().filter(Effect.Reread.class::isInstance).map(Effect.Reread.class::cast)
                 .toList();
-        step(new Input.Reconfigured(rereads.get(rereads.size() - 1).serial(), "127.0.0.1:1", to));
+        step(new Input.Reconfigured(rereads.get(rereads.size() - 1).serial(), "127.0.0.1:1", to, Map.of()));
     }
 
     /** An engine's word on one of what it holds. */
--- a/frontend/src/test/java/quincespar/routing/SettingsChangeTest.java
+++ b/frontend/src/test/java/quincespar/routing/SettingsChangeTest.java
@@ -76,8 +76,10 @@
         w.step(new Input.Hangup(), new Input.Hangup());
         List<Effect.Reread> asked = w.all.stream().filter(Effect.Reread.class::isInstance).map(Effect.Reread.class::cast)
                 .toList();
-        w.step(new Input.Reconfigured(asked.get(0).serial(), "127.0.0.1:1", RouterWorld.site(3, new Spec("b", "safe"))));
+        w.step(new Input.Reconfigured(asked.get(0).serial(), "127.0.0.1:1", RouterWorld.site(3, new Spec("b", "safe")),
+                Map.of("overtaken", true)));
         assertThat(w.site.classes()).containsOnlyKeys("a");
+        assertThat(w.all).noneMatch(Effect.InForce.class::isInstance); // nor is the next one held against it
         w.step(new Input.ReconfigureFailed(asked.get(1).serial(), "it is empty"));
         assertThat(w.site.classes()).containsOnlyKeys("a");
         assertThat(w.reducer.figures().confInvalid()).isEqualTo(1);
@@ -89,7 +91,7 @@
     void aFileWithTheSameSettingsTellsTheModuleNothing() {
         RouterWorld w = new RouterWorld(RouterWorld.site(3, new Spec("a", "safe")));
         w.retune(RouterWorld.site(3, new Spec("a", "safe")));
-        assertThat(w.all).noneMatch(Effect.Adopt.class::isInstance);
+        assertThat(w.all).noneMatch(Effect.Adopt.class::isInstance).contains(new Effect.InForce(Map.of()));
         assertThat(w.reducer.figures().confLoaded()).isEqualTo(1);
     }
 
