Write the module's whole state as bytes and read it back, its source of chance included

Need (capture and replay): each segment of a capture has to begin with the module's state, so that the oldest can be dropped and replay can begin at any. Taken: StateCodec, which learns the classes of the module's package from its fields and writes values (equal ones once, in the order in which they are made of each other), then the forms of all objects, then what each holds, one after another. Not taken: Kryo and the like, which walk one object within another: open requests hang together through the sets of the engines, and 5,000 of them end such a walk on a small stack (a test writes them on 64 KB); Java serialization, which reads whatever the bytes name; a second module beside the first, which knows no state after a gap. Also: a captured module passes on how many engines it avoids.

--- a/capture/src/main/java/quincespar/capture/CapturedGateway.java
+++ b/capture/src/main/java/quincespar/capture/CapturedGateway.java
@@ -15,6 +15,11 @@
         this.to = to;
     }
 
+    @Override
+    public int avoided() {
+        return module.avoided();
+    }
+
     @Override
     public List<Action> decide(double now, List<Event> events) {
         List<Event> told = List.copyOf(events);
--- a/capture/src/main/java/quincespar/capture/Entry.java
+++ b/capture/src/main/java/quincespar/capture/Entry.java
@@ -1,5 +1,6 @@
 package quincespar.capture;
 
+import java.util.Arrays;
 import java.util.List;
 import quincespar.decision.Gateway;
 
@@ -12,6 +13,19 @@
     record Opening(String name, double time, long seed, String build, String module, Gateway.Settings settings)
             implements Entry { }
 
+    /** The module's state as it stood then ({@link StateCodec}): replay can begin here, without what came before. */
+    record State(double time, byte[] bytes) implements Entry {
+        @Override
+        public boolean equals(Object o) {
+            return o instanceof State s && time == s.time && Arrays.equals(bytes, s.bytes);
+        }
+
+        @Override
+        public int hashCode() {
+            return Arrays.hashCode(bytes);
+        }
+    }
+
     /** One call of the module: its time, what it was told in order, and what it answered. */
     record Call(double time, List<Gateway.Event> events, List<Gateway.Action> actions) implements Entry { }
 
--- /dev/null
+++ b/capture/src/test/java/quincespar/capture/StateCodecTest.java
@@ -0,0 +1,106 @@
+package quincespar.capture;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import quincespar.decision.Brain;
+import quincespar.decision.Gateway;
+import quincespar.decision.Gateway.EngineState;
+
+@Timeout(120)
+class StateCodecTest {
+    private final StateCodec codec = new StateCodec(Brain.class);
+
+    private static void play(Gateway module, List<Entry> entries, int from, int to) {
+        for (Entry e : entries.subList(from, to)) {
+            if (e instanceof Entry.Call c) {
+                assertThat(module.decide(c.time(), c.events())).isEqualTo(c.actions());
+            }
+        }
+    }
+
+    /** At any moment of a day with all that can happen: what was read decides as what was written would have. */
+    @Test
+    void aModuleInAStateThatWasReadDecidesAsTheOneThatItWasWrittenFrom() throws IOException {
+        List<Entry> entries = new World(31).play(1500);
+        for (int at = 1; at < entries.size(); at += entries.size() / 12) {
+            Gateway module = new Brain(World.settings(), 31);
+            play(module, entries, 1, at);
+            byte[] state = codec.write(module);
+            Gateway other = codec.read(state, Brain.class);
+            assertThat(codec.write(other)).isEqualTo(state);
+            play(other, entries, at, entries.size());
+            play(module, entries, at, entries.size());
+            assertThat(codec.write(other)).as("the end, from call " + at).isEqualTo(codec.write(module));
+        }
+    }
+
+    /** All open requests hang together through the engines: a walk that calls itself for each would not end well. */
+    @Test
+    void thousandsOfOpenRequestsAreWrittenOnASmallStack() throws Exception {
+        Gateway module = new Brain(World.settings(), 5);
+        List<Gateway.Engine> engines = new ArrayList<>();
+        for (long e = 1; e <= 60; e++) {
+            engines.add(new Gateway.Engine(e, 0, 0, 0, EngineState.READY, 1, 0));
+        }
+        module.decide(0, List.of(new Gateway.Listed(Gateway.ListKind.CACHED, 1, engines)));
+        for (int i = 1; i <= 5000; i++) {
+            module.decide(i / 10.0, List.of(new Gateway.Request(i, i % 3, -1, 5000, 50, 10, i, 0, false, i % 3 == 2)));
+        }
+        List<byte[]> out = new ArrayList<>();
+        Thread small = new Thread(null, () -> out.add(codec.write(module)), "small", 64 * 1024);
+        small.start();
+        small.join();
+        assertThat(out).hasSize(1);
+        assertThat(codec.write(codec.read(out.get(0), Brain.class))).isEqualTo(out.get(0));
+    }
+
+    @Test
+    void bytesThatAreNoStateAreRefusedAndNothingElseIsThrown() throws IOException {
+        World w = new World(33);
+        List<Entry> entries = w.play(40);
+        Gateway module = new Brain(World.settings(), 33);
+        play(module, entries, 1, 60);
+        byte[] state = codec.write(module);
+        SplittableRandom random = new SplittableRandom(3);
+        int refused = 0;
+        for (int i = 0; i < 4000; i++) {
+            byte[] bad = random.nextBoolean() ? Arrays.copyOf(state, random.nextInt(state.length)) : state.clone();
+            if (bad.length > 0) {
+                bad[random.nextInt(bad.length)] ^= (byte) (1 + random.nextInt(255));
+            }
+            try {
+                assertThat(codec.read(bad, Brain.class)).isNotNull(); // another figure is a state too
+            } catch (MalformedCapture e) {
+                refused++;
+                assertThat(e.getMessage()).isNotBlank();
+            }
+        }
+        assertThat(refused).isGreaterThan(2000);
+        assertThatThrownBy(() -> codec.read(new byte[40], Brain.class)).isInstanceOf(MalformedCapture.class)
+                .hasMessageContaining("and this module's is " + codec.schema());
+    }
+
+    /** State that a snapshot would leave out must not go unnoticed: a module that has some is refused before it runs. */
+    @Test
+    void whatASnapshotDoesNotKnowIsToldAndNotLeftOut() {
+        assertThatThrownBy(() -> new StateCodec(WithParent.class)).hasMessageContaining("has state in what it extends");
+        assertThatThrownBy(() -> new StateCodec(WithRandom.class).write(new WithRandom()))
+                .isInstanceOf(IllegalStateException.class).hasMessage("a snapshot does not know class java.util.Random");
+    }
+}
+
+final class WithParent extends ArrayList<String> {
+    private static final long serialVersionUID = 1;
+}
+
+final class WithRandom {
+    private final java.util.Random random = new java.util.Random(1);
+}
--- a/decision/src/main/java/quincespar/decision/Brain.java
+++ b/decision/src/main/java/quincespar/decision/Brain.java
@@ -61,7 +61,7 @@
     /** An engine's report fades within two seconds: short queries have gone by then. */
     private static final double FADE = 2000;
 
-    private final java.util.Random random;
+    private final Chance random;
     private Settings set;
     private Kind[] kinds = {};
     private Type[] types = {};
@@ -85,7 +85,7 @@
 
     /** Starts one router's module; the seed feeds its only source of chance. */
     public Brain(Settings settings, long seed) {
-        random = new java.util.Random(seed);
+        random = new Chance(seed);
         adopt(new Configured(settings, List.of()));
         watchWait = Math.min(1000, set.rules().askEvery() / 8);
     }
--- a/decision/src/main/java/quincespar/decision/State.java
+++ b/decision/src/main/java/quincespar/decision/State.java
@@ -88,6 +88,40 @@
         }
     }
 
+    /**
+     * Chance from a seed: the generator of {@code java.util.Random}, as its documentation gives it, with its state where a
+     * snapshot can read it.
+     */
+    static final class Chance {
+        private static final long MULTIPLIER = 0x5DEECE66DL, MASK = (1L << 48) - 1;
+        long state;
+
+        Chance(long seed) {
+            state = (seed ^ MULTIPLIER) & MASK;
+        }
+
+        /** From 0 to below 1. */
+        double nextDouble() {
+            return (((long) next(26) << 27) + next(27)) * 0x1.0p-53;
+        }
+
+        private int next(int bits) {
+            state = state * MULTIPLIER + 0xBL & MASK;
+            return (int) (state >>> 48 - bits);
+        }
+    }
+
+    /** Queries by age, the one taken first before. */
+    enum ByAge implements Comparator<Query> {
+        OLDEST_FIRST;
+
+        @Override
+        public int compare(Query a, Query b) {
+            int born = Double.compare(a.born, b.born);
+            return born != 0 ? born : Long.compare(a.seq, b.seq);
+        }
+    }
+
     /** Counts a tenant's requests against its quota: true where one lies beyond it. */
     static final class Bucket {
         double perS, level, last = Double.NaN;
@@ -147,8 +181,7 @@
     static final class Type {
         final Kind kind;
         final int hope;
-        final TreeSet<Query> queue = new TreeSet<>(
-                Comparator.comparingDouble((Query q) -> q.born).thenComparingLong(q -> q.seq));
+        final TreeSet<Query> queue = new TreeSet<>(ByAge.OLDEST_FIRST);
 
         Type(Kind kind, int hope) {
             this.kind = kind;
--- /dev/null
+++ b/decision/src/test/java/quincespar/decision/ChanceTest.java
@@ -0,0 +1,20 @@
+package quincespar.decision;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+class ChanceTest {
+    /** A capture made before the generator was the module's own must replay to the same decisions. */
+    @Test
+    void theModulesChanceIsThatOfTheJdkBySeed() {
+        for (long seed : new long[] {0, 1, -1, 42, Long.MIN_VALUE, 0x8c1f30d27a5be964L}) {
+            Random known = new Random(seed);
+            State.Chance ours = new State.Chance(seed);
+            for (int i = 0; i < 1000; i++) {
+                assertEquals(known.nextDouble(), ours.nextDouble());
+            }
+        }
+    }
+}
