--- a/capture/src/main/java/quincespar/capture/Replay.java
+++ b/capture/src/main/java/quincespar/capture/Replay.java
@@ -1,12 +1,13 @@
 package quincespar.capture;
 
+import java.io.IOException;
 import java.security.MessageDigest;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Deque;
 import java.util.HexFormat;
 import java.util.List;
-import java.util.function.Function;
 import quincespar.decision.Gateway;
 
 /**
@@ -14,8 +15,25 @@
  * are answers to decisions that this module did not make, and prove nothing about it.
  */
 public final class Replay {
-    /** What came of it; {@code parting} is null where all decisions are the same. */
-    public record Result(long calls, long events, long decisions, String digest, Parting parting) { }
+    /** Makes the modules that are played on. */
+    public interface Modules {
+        /** A new one. */
+        Gateway fresh(Entry.Opening opening);
+
+        /** One in that state; throws {@link MalformedCapture} where it is of another text, or none. */
+        Gateway restored(Entry.State state) throws IOException;
+
+        /** A module's state, as bytes that are the same where the state is. */
+        byte[] state(Gateway module);
+    }
+
+    /**
+     * What came of it; {@code parting} is null where all decisions are the same. Of the snapshots that were reached by
+     * playing on, so many were {@code states} that the module was in, and so many {@code otherStates}. {@code lost}: calls
+     * that were not captured, or could not be played for want of a state.
+     */
+    public record Result(long calls, long events, long decisions, long states, long otherStates, long lost, String digest,
+            Parting parting) { }
 
     /** The first call whose decisions differ, by number from 1, with the calls before it, the last one last. */
     public record Parting(long call, double time, List<Entry.Call> before, Entry.Call expected, List<Gateway.Action> got) { }
@@ -26,32 +44,56 @@
     private final EntryCodec codec = new EntryCodec();
     private final MessageDigest digest = Digests.sha256();
     private final Deque<Entry.Call> before = new ArrayDeque<>();
-    private final Function<Entry.Opening, Gateway> modules;
+    private final Modules modules;
+    /** Of the segment that begins: whether a state comes with it is known with the next entry. */
+    private Entry.Opening opening;
     private Gateway module;
+    private long states;
+    private long otherStates;
+    private long lost;
     private Parting parting;
     private long calls;
     private long events;
     private long decisions;
 
-    /** Plays on what {@code modules} makes of an opening. */
-    public Replay(Function<Entry.Opening, Gateway> modules) {
+    /** Plays on what {@code modules} makes. */
+    public Replay(Modules modules) {
         this.modules = modules;
     }
 
-    /** Plays one entry; false where it can't go on: the decisions have parted, or calls are missing. */
-    public boolean play(Entry entry) {
+    /** Plays one entry; false once the decisions have parted. Calls after a gap are counted as lost up to the next state. */
+    public boolean play(Entry entry) throws IOException {
         if (parting != null) {
             return false;
         }
         if (entry instanceof Entry.Opening o) {
-            module = modules.apply(o);
-            return true;
+            opening = o;
+        } else if (entry instanceof Entry.State s) {
+            state(s);
+        } else if (entry instanceof Entry.Gap g) {
+            lost += g.calls();
+            opening = null; // what follows is played from the next state
+            module = null;
+        } else if (entry instanceof Entry.Call c) {
+            if (opening != null) {
+                module = modules.fresh(opening);
+                opening = null;
+            }
+            lost += module == null ? 1 : 0;
+            return module == null || call(c);
         }
-        if (module == null || entry instanceof Entry.Gap) {
-            module = null; // what follows is played from the next opening
-            return false;
+        return true;
+    }
+
+    private void state(Entry.State s) throws IOException {
+        opening = null;
+        if (module == null) {
+            module = modules.restored(s);
+        } else if (Arrays.equals(modules.state(module), s.bytes())) {
+            states++;
+        } else {
+            otherStates++;
         }
-        return call((Entry.Call) entry);
     }
 
     private boolean call(Entry.Call c) {
@@ -61,7 +103,7 @@
         decisions += got.size();
         Entry.Call played = new Entry.Call(c.time(), c.events(), got);
         codec.digest(digest, played);
-        if (!java.util.Arrays.equals(codec.write(c), codec.write(played))) { // bytes: NaN and -0.0 count as they are
+        if (!Arrays.equals(codec.write(c), codec.write(played))) { // bytes: NaN and -0.0 count as they are
             parting = new Parting(calls, c.time(), new ArrayList<>(before), c, got);
             return false;
         }
@@ -76,7 +118,7 @@
     public Result result() {
         try {
             MessageDigest soFar = (MessageDigest) digest.clone();
-            return new Result(calls, events, decisions, HexFormat.of().formatHex(soFar.digest()), parting);
+            return new Result(calls, events, decisions, states, otherStates, lost, HexFormat.of().formatHex(soFar.digest()), parting);
         } catch (CloneNotSupportedException e) {
             throw new IllegalStateException(e);
         }
--- /dev/null
+++ b/capture/src/test/java/quincespar/capture/RecordingTest.java
@@ -0,0 +1,266 @@
+package quincespar.capture;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.CountDownLatch;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import quincespar.decision.Gateway;
+
+/** Segments on a store that works, fails, fills up and drops what is old, and their replay. */
+class RecordingTest {
+    private static final Segments.Limits LIMITS = new Segments.Limits(12_000, 1_000, 80_000, 1e9, 100, 800);
+
+    private final MemoryStore store = new MemoryStore();
+    private final List<String> told = new ArrayList<>();
+    /** Lost on the way to the recording, where a test says so. */
+    private long lost;
+
+    /** The module's thread and the writer's in one, in virtual time. */
+    private final class Together implements CapturedGateway.Tap {
+        private final Recording recording;
+        private double now;
+
+        Together(long seed, Segments.Limits limits) {
+            recording = new Recording(World.opening(seed), new Segments(limits, new SegmentName("w", 1, 0), store.list(), 0),
+                    store, told::add);
+            recording.begin(0, null, 0, "");
+        }
+
+        @Override
+        public void call(Entry.Call call) {
+            now = call.time();
+            recording.call(now, call);
+        }
+
+        @Override
+        public void failed(Entry.Gap gap) {
+            recording.gap(now, gap);
+        }
+
+        @Override
+        public boolean wantsState() {
+            return recording.due(now);
+        }
+
+        @Override
+        public void state(double time, byte[] bytes) {
+            recording.begin(time, new Entry.State(time, bytes), lost, "the ring was full");
+            lost = 0;
+        }
+    }
+
+    private Recording.Counts play(long seed, Segments.Limits limits, int requests) {
+        Together t = new Together(seed, limits);
+        new World(seed, t).play(requests);
+        t.recording.close(t.now);
+        return t.recording.counts();
+    }
+
+    private Replay.Result replay(List<SegmentName> names) throws IOException {
+        Replay replay = new Replay(new BrainModules());
+        new Captures(store).entries(names, (name, e) -> replay.play(e));
+        return replay.result();
+    }
+
+    @Test
+    @Timeout(120)
+    void aDayInSegmentsPlaysTheSameFromItsStartAndFromAnySegment() throws IOException {
+        Recording.Counts counts = play(41, new Segments.Limits(100_000, 1e9, 100_000_000, 1e9, 100, 800), 4000);
+        List<SegmentName> all = new Captures(store).names();
+        assertThat(all).hasSizeGreaterThan(4).hasSize((int) counts.segments());
+        Replay.Result whole = replay(all);
+        assertThat(whole.parting()).isNull();
+        assertThat(whole.lost()).isZero();
+        assertThat(whole.calls()).isEqualTo(counts.calls());
+        assertThat(whole.states()).isEqualTo(all.size() - 1); // played on, it comes into each state that was captured
+        assertThat(whole.otherStates()).isZero();
+        assertThat(replay(all)).isEqualTo(whole);
+        long calls = whole.calls();
+        for (int from = 1; from < all.size(); from++) {
+            Replay.Result part = replay(all.subList(from, all.size()));
+            assertThat(part.parting()).isNull();
+            assertThat(part.lost()).isZero();
+            assertThat(part.states()).isEqualTo(all.size() - 1 - from);
+            assertThat(part.calls()).isLessThan(calls);
+            calls = part.calls();
+            assertThat(replay(all.subList(from, all.size()))).isEqualTo(part);
+        }
+    }
+
+    /** What came before the oldest that is left is no loss to replay: it begins with a state. */
+    @Test
+    @Timeout(120)
+    void theOldestGoAndTogetherTheyNeverPassTheirBound() throws IOException {
+        Recording.Counts counts = play(42, LIMITS, 3000);
+        assertThat(counts.dropped()).isPositive();
+        assertThat(counts.lost()).isZero();
+        assertThat(store.most).isLessThanOrEqualTo(LIMITS.totalBytes()).isGreaterThan(LIMITS.totalBytes() / 2);
+        List<SegmentName> left = new Captures(store).names();
+        assertThat(left.get(0).serial()).isGreaterThan(1);
+        assertThat(left.get(left.size() - 1).serial()).isEqualTo((int) counts.segments());
+        Replay.Result r = replay(left);
+        assertThat(r.parting()).isNull();
+        assertThat(r.lost()).isZero();
+        assertThat(r.calls()).isPositive();
+    }
+
+    /** Whatever fails and when, what is read back plays without a parting, and all that is not there is counted. */
+    @Property(tries = 40, seed = "20261201")
+    void whateverFailsWhatIsThereIsTrueAndWhatIsNotIsCounted(@ForAll long seed) throws IOException {
+        store.files.clear();
+        SplittableRandom random = new SplittableRandom(seed);
+        store.creates = () -> random.nextInt(6) > 0;
+        store.writes = () -> random.nextInt(150) > 0;
+        store.deletes = () -> random.nextInt(4) > 0;
+        store.closes = () -> random.nextInt(10) > 0;
+        store.most = 0;
+        Together t = new Together(43, LIMITS);
+        List<Entry> calls = new World(43).play(400);
+        World again = new World(43, t);
+        again.play(400);
+        t.recording.close(t.now);
+        Recording.Counts counts = t.recording.counts();
+        assertThat(counts.calls() + counts.lost()).isEqualTo(calls.size() - 1);
+        assertThat(counts.failures()).isPositive();
+        assertThat(store.most).isLessThanOrEqualTo(LIMITS.totalBytes());
+        Replay.Result r = replay(new Captures(store).names());
+        assertThat(r.parting()).isNull();
+        assertThat(r.otherStates()).isZero();
+        if (counts.dropped() == 0) {
+            assertThat(r.calls()).isEqualTo(counts.calls());
+        }
+    }
+
+    @Test
+    void aFullDiskIsToldOnceAndAgainWhenItIsOver() {
+        boolean[] full = {false};
+        store.writes = () -> !full[0];
+        Recording r = new Recording(World.opening(1), new Segments(LIMITS, new SegmentName("w", 1, 0), List.of(), 0), store,
+                told::add);
+        r.begin(0, null, 0, "");
+        Entry.Call call = new Entry.Call(1, List.of(), List.of());
+        r.call(1, call);
+        full[0] = true;
+        r.call(2, call);
+        for (double now = 3; now < 2000; now++) { // tried again after 100, 200, 400, 800 and 800 ms
+            if (r.due(now)) {
+                r.begin(now, new Entry.State(now, new byte[1]), 0, "");
+            }
+            r.call(now, call);
+        }
+        full[0] = false;
+        r.begin(5000, new Entry.State(5000, new byte[1]), 7, "the ring was full");
+        r.call(5001, call);
+        assertThat(r.counts().failures()).isEqualTo(5);
+        assertThat(r.counts().calls()).isEqualTo(2);
+        assertThat(r.counts().lost()).isEqualTo(1 + 1997 + 7);
+        assertThat(told).containsExactly("capture: a segment has begun",
+                "capture: disk full; calls are lost until it can be written again",
+                "capture: a segment has begun, 2005 calls were lost: the ring was full");
+    }
+
+    /** A segment that someone took away, or that lost its tail, is a gap: nothing is played over it. */
+    @Test
+    @Timeout(120)
+    void whatIsMissingInTheMiddleIsAGap() throws IOException {
+        Recording.Counts counts = play(44, new Segments.Limits(20_000, 1e9, 100_000_000, 1e9, 100, 800), 1000);
+        List<SegmentName> all = new ArrayList<>(new Captures(store).names());
+        assertThat(all).hasSizeGreaterThan(4);
+        store.files.remove(all.get(2).file());
+        byte[] tail = store.files.get(all.get(3).file()).toByteArray();
+        store.files.get(all.get(3).file()).reset();
+        store.files.get(all.get(3).file()).write(tail, 0, tail.length - 3);
+        Captures captures = new Captures(store);
+        assertThat(captures.read(all.get(3)).damage()).contains("cut off");
+        assertThat(captures.read(all.get(3)).state()).isTrue();
+        Replay.Result r = replay(captures.names());
+        assertThat(r.parting()).isNull();
+        assertThat(r.calls()).isLessThan(counts.calls());
+        assertThat(r.states()).isEqualTo(all.size() - 1 - 3); // 2 is missing, 3 and 4 are restored anew
+    }
+
+    @Test
+    @Timeout(120)
+    void aCutHoldsTheStateBeforeItAndPlays() throws IOException {
+        play(45, new Segments.Limits(20_000, 1e9, 100_000_000, 1e9, 100, 800), 1000);
+        Captures captures = new Captures(store);
+        Captures.Segment third = captures.read(captures.names().get(2));
+        List<Entry> cut = captures.cut(captures.names(), third.from() + 1, third.to());
+        assertThat(cut.get(0)).isInstanceOf(Entry.Opening.class);
+        assertThat(cut.get(1)).isInstanceOf(Entry.State.class);
+        Replay replay = new Replay(new BrainModules());
+        for (Entry e : cut) {
+            assertThat(replay.play(e)).isTrue();
+        }
+        long[] calls = {0};
+        captures.entries(captures.names().subList(2, captures.names().size()), (name, e) -> {
+            calls[0] += e instanceof Entry.Call c && c.time() <= third.to() ? 1 : 0;
+            return true;
+        });
+        assertThat(replay.result().calls()).isEqualTo(calls[0]).isGreaterThanOrEqualTo(third.calls());
+        assertThat(captures.cut(captures.names(), 1e9, 2e9)).isEmpty();
+    }
+
+    /** The module's thread and the writer's apart: a store that stands still holds up nobody, and is caught up with. */
+    @Test
+    @Timeout(60)
+    void aStoreThatStandsStillLosesCallsAndTheCaptureGoesOnWithAState() throws Exception {
+        CountDownLatch moves = new CountDownLatch(1);
+        CountDownLatch standing = new CountDownLatch(1);
+        boolean[] stands = {false};
+        store.writes = () -> {
+            try {
+                if (stands[0]) {
+                    standing.countDown();
+                    moves.await();
+                }
+                return true;
+            } catch (InterruptedException e) {
+                return false;
+            }
+        };
+        Recording recording = new Recording(World.opening(46), new Segments(
+                new Segments.Limits(1 << 30, 1e9, 1L << 32, 1e9, 100, 800), new SegmentName("w", 1, 0), List.of(), 0), store,
+                told::add);
+        Recorder recorder = new Recorder(recording, 64, 5, () -> System.nanoTime() / 1e6);
+        Thread writer = new Thread(recorder);
+        writer.start();
+        World w = new World(46, recorder);
+        while (recorder.counts().segments() == 0) {
+            Thread.onSpinWait();
+        }
+        stands[0] = true;
+        w.play(600); // far more calls than the ring holds; none of them waits
+        standing.await();
+        assertThat(recorder.losing()).isPositive();
+        moves.countDown();
+        w.settle(() -> recorder.counts().segments() < 2);
+        assertThat(recorder.stop()).isTrue();
+        writer.join();
+        Recording.Counts counts = recorder.counts();
+        assertThat(counts.lost()).isPositive();
+        assertThat(counts.calls() + counts.lost() + recorder.losing()).isEqualTo(w.calls());
+        Replay.Result r = replay(new Captures(store).names());
+        assertThat(r.parting()).isNull();
+        assertThat(r.calls()).isEqualTo(counts.calls());
+        assertThat(r.lost()).isEqualTo(counts.lost());
+    }
+
+    @Test
+    void namesComeBackAsTheyWereAndNothingElseIsOne() {
+        SegmentName n = new SegmentName("n-1", 1_764_000_000_000L, 12);
+        assertThat(n.file()).isEqualTo("n-1-1764000000000-000012.qcap");
+        assertThat(SegmentName.read(n.file())).contains(n);
+        assertThat(new SegmentName("../n 1", 0, 1).file()).isEqualTo(".._n_1-0000000000000-000001.qcap");
+        assertThat(SegmentName.read("n-1764000000000-12.qcap")).isEmpty();
+        assertThatThrownBy(() -> new Segments.Limits(100, 1, 199, 1, 1, 1)).hasMessageContaining("two segments");
+    }
+}
--- a/capture/src/test/java/quincespar/capture/World.java
+++ b/capture/src/test/java/quincespar/capture/World.java
@@ -64,13 +64,24 @@
     private long order;
     private long id;
     private long hung = -1;
+    private long calls;
 
     World(long seed) {
         random = new SplittableRandom(seed);
-        entries.add(new Entry.Opening("w" + seed, now, seed, "test", ModuleText.digest(Brain.class), settings()));
+        entries.add(opening(seed));
         module = new CapturedGateway(new Brain(settings(), seed), entries::add);
     }
 
+    /** As above, told to someone else. */
+    World(long seed, CapturedGateway.Tap to) {
+        random = new SplittableRandom(seed);
+        module = new CapturedGateway(new Brain(settings(), seed), to, new StateCodec(Brain.class)::write);
+    }
+
+    static Entry.Opening opening(long seed) {
+        return new Entry.Opening("w" + seed, 1000, seed, "test", ModuleText.digest(Brain.class), settings());
+    }
+
     static Gateway.Settings settings() {
         return SettingsParser.parse(SETTINGS);
     }
@@ -103,6 +114,19 @@
         return entries;
     }
 
+    /** Goes on with timers only, for as long as the test says. */
+    void settle(java.util.function.BooleanSupplier goOn) {
+        while (goOn.getAsBoolean()) {
+            now += 1;
+            tell(new Gateway.Timer(1));
+        }
+    }
+
+    /** Calls of the module so far. */
+    long calls() {
+        return calls;
+    }
+
     private void trouble() {
         long e = 1 + random.nextInt(ENGINES);
         Gateway.Engine old = engines.get(e);
@@ -124,6 +148,7 @@
     }
 
     private void tell(Gateway.Event event) {
+        calls++;
         for (Gateway.Action a : module.decide(now, List.of(event))) {
             if (a instanceof Gateway.Send s) {
                 sent(new Out(s.id(), attempts.merge(s.id(), 1, Integer::sum) - 1, s.engine()));
@@ -171,7 +196,23 @@
     static Replay.Result replay(byte[] file, long seedAside) throws IOException {
         EntryCodec codec = new EntryCodec();
         Frames.Reader in = new Frames.Reader(new ByteArrayInputStream(file), codec.schema());
-        Replay replay = new Replay(o -> new Brain(o.settings(), o.seed() + seedAside));
+        Replay.Modules own = new BrainModules();
+        Replay replay = new Replay(new Replay.Modules() {
+            @Override
+            public Gateway fresh(Entry.Opening o) {
+                return new Brain(o.settings(), o.seed() + seedAside);
+            }
+
+            @Override
+            public Gateway restored(Entry.State s) throws IOException {
+                return own.restored(s);
+            }
+
+            @Override
+            public byte[] state(Gateway module) {
+                return own.state(module);
+            }
+        });
         for (byte[] r = in.next(); r != null && replay.play(codec.read(r)); r = in.next()) {
             continue;
         }
--- /dev/null
+++ b/frontend/src/main/java/quincespar/program/CaptureCommands.java
@@ -0,0 +1,176 @@
+package quincespar.program;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import quincespar.capture.BrainModules;
+import quincespar.capture.Captures;
+import quincespar.capture.Captures.Segment;
+import quincespar.capture.Entry;
+import quincespar.capture.EntryCodec;
+import quincespar.capture.Frames;
+import quincespar.capture.ModuleText;
+import quincespar.capture.Replay;
+import quincespar.capture.SegmentName;
+import quincespar.capture.Store;
+import quincespar.decision.Brain;
+import quincespar.decision.Gateway;
+
+/** What can be asked of captures; every answer is lines that scripts can read. */
+@Command(name = "capture", description = "Look at captures: all that the module was told and decided.",
+        mixinStandardHelpOptions = true)
+final class CaptureCommands {
+    private static final double SECOND = 1000;
+
+    @Command(name = "list", description = "One line for each segment: name, bytes, calls, times, state, damage.")
+    int list(@Parameters(paramLabel = "DIR") Path folder) throws IOException {
+        Captures captures = new Captures(new CaptureFolder(folder));
+        for (SegmentName name : captures.names()) {
+            Segment s = captures.read(name);
+            System.out.printf(Locale.ROOT, "%s bytes=%d calls=%d from=%s to=%s state=%s%s%n", name.file(), s.bytes(),
+                    s.calls(), time(s.from()), time(s.to()), s.state() ? "yes" : "no",
+                    s.damage() == null ? "" : " damage=\"" + s.damage() + "\"");
+        }
+        return 0;
+    }
+
+    @Command(name = "info", description = "Whose captures these are: name, build, module, settings; sums over segments.")
+    int info(@Parameters(paramLabel = "DIR") Path folder) throws IOException {
+        Captures captures = new Captures(new CaptureFolder(folder));
+        Map<String, List<Segment>> lives = new LinkedHashMap<>();
+        for (SegmentName name : captures.names()) {
+            lives.computeIfAbsent(name.of() + " started " + Instant.ofEpochMilli(name.start()), n -> new ArrayList<>())
+                    .add(captures.read(name));
+        }
+        String own = ModuleText.digest(Brain.class);
+        lives.forEach((life, all) -> {
+            System.out.println(life + ": segments=" + all.size() + " bytes=" + all.stream().mapToLong(Segment::bytes).sum()
+                    + " calls=" + all.stream().mapToLong(Segment::calls).sum());
+            all.stream().map(Segment::opening).filter(o -> o != null).findFirst().ifPresent(o -> {
+                System.out.println("  build=\"" + o.build() + "\" module=" + o.module()
+                        + (o.module().equals(own) ? " (this build's)" : " (this build's is " + own + ")") + " seed="
+                        + Long.toHexString(o.seed()));
+                System.out.println("  classes=" + o.settings().classes().stream().map(Gateway.ClassSpec::name).toList());
+            });
+        });
+        return 0;
+    }
+
+    @Command(name = "verify", description = "Read every record: exit code 0 where all is whole, 1 with a line for each"
+            + " thing that is missing.")
+    int verify(@Parameters(paramLabel = "DIR") Path folder) throws IOException {
+        Captures captures = new Captures(new CaptureFolder(folder));
+        long[] records = {0};
+        List<String> wrong = new ArrayList<>();
+        captures.entries(captures.names(), (name, e) -> {
+            records[0]++;
+            if (e instanceof Entry.Gap g) {
+                wrong.add("gap in or before " + name.file() + " at " + time(g.time()) + ": " + g.why()
+                        + (g.calls() > 0 ? ", calls lost: " + g.calls() : ""));
+            }
+            return true;
+        });
+        wrong.forEach(System.out::println);
+        System.out.println(records[0] + " records, " + wrong.size() + " gaps");
+        return wrong.isEmpty() ? 0 : 1;
+    }
+
+    @Command(name = "cut", description = "Write the calls of a time, with the state before them, to a segment of its own.")
+    int cut(@Parameters(paramLabel = "DIR") Path folder,
+            @Option(names = "--from", required = true, paramLabel = "S", description = "Seconds since 1970.") double from,
+            @Option(names = "--to", required = true, paramLabel = "S", description = "Seconds since 1970.") double to,
+            @Option(names = "--out", required = true, paramLabel = "DIR") Path out) throws IOException {
+        Captures captures = new Captures(new CaptureFolder(folder));
+        List<SegmentName> names = captures.names();
+        if (names.stream().map(n -> n.of() + n.start()).distinct().count() > 1) {
+            throw new IOException(folder + " holds captures of several processes; cut from a folder with one");
+        }
+        List<Entry> entries = captures.cut(names, from * SECOND, to * SECOND);
+        if (entries.isEmpty()) {
+            throw new IOException("no call between " + time(from * SECOND) + " and " + time(to * SECOND));
+        }
+        EntryCodec codec = new EntryCodec();
+        SegmentName name = new SegmentName(names.get(0).of(), names.get(0).start(), 1);
+        Files.createDirectories(out);
+        if (Files.exists(out.resolve(name.file()))) {
+            throw new IOException(out.resolve(name.file()) + " is there already");
+        }
+        try (Store.Sink sink = new CaptureFolder(out).create(name.file())) {
+            sink.write(Frames.head(codec.schema()));
+            for (Entry e : entries) {
+                sink.write(Frames.frame(codec.write(e)));
+            }
+        }
+        System.out.println(out.resolve(name.file()) + ": " + entries.size() + " records");
+        return 0;
+    }
+
+    /** Plays captures again on this build's module; answers the exit code. */
+    static int replay(Path folder, int from, Path decisions) throws IOException {
+        Captures captures = new Captures(new CaptureFolder(folder));
+        List<SegmentName> names = captures.names().stream().filter(n -> n.serial() >= from).toList();
+        if (names.isEmpty()) {
+            throw new IOException("no segments in " + folder + (from > 1 ? " from number " + from + " on" : ""));
+        }
+        Replay replay = new Replay(new BrainModules());
+        double[] span = {Double.NaN, Double.NaN};
+        long began = System.nanoTime();
+        try (PrintStream out = decisions == null ? null : new PrintStream(Files.newOutputStream(decisions), false,
+                StandardCharsets.UTF_8)) {
+            captures.entries(names, (name, e) -> {
+                if (e instanceof Entry.Call c) {
+                    span[0] = Double.isNaN(span[0]) ? c.time() : span[0];
+                    span[1] = c.time();
+                    if (out != null && !c.actions().isEmpty()) {
+                        out.println(c.time() + " " + c.actions());
+                    }
+                }
+                return replay.play(e);
+            });
+            if (out != null && out.checkError()) {
+                throw new IOException("can't write " + decisions);
+            }
+        } catch (UncheckedIOException e) {
+            throw e.getCause();
+        }
+        double took = (System.nanoTime() - began) / 1e6;
+        Replay.Result r = replay.result();
+        System.out.printf(Locale.ROOT, "calls=%d events=%d decisions=%d sha256=%s%n", r.calls(), r.events(), r.decisions(),
+                r.digest());
+        System.out.printf(Locale.ROOT, "states=%d other-states=%d lost=%d%n", r.states(), r.otherStates(), r.lost());
+        System.out.printf(Locale.ROOT, "played %.1f s in %.2f s, %.0f times as fast%n", (span[1] - span[0]) / SECOND,
+                took / SECOND, (span[1] - span[0]) / took);
+        if (r.parting() != null) {
+            parted(r.parting());
+        }
+        return r.parting() == null && r.otherStates() == 0 ? 0 : 1;
+    }
+
+    private static void parted(Replay.Parting p) {
+        System.out.println("parted at call " + p.call() + ", " + time(p.time()) + "; the calls before:");
+        p.before().forEach(c -> System.out.println("  " + time(c.time()) + " " + c.events() + " -> " + c.actions()));
+        System.out.println("  " + time(p.time()) + " " + p.expected().events());
+        System.out.println("expected " + ordered(p.expected().actions()));
+        System.out.println("got      " + ordered(p.got()));
+    }
+
+    private static String ordered(List<Gateway.Action> actions) {
+        return actions.stream().map(String::valueOf).reduce((a, b) -> a + " " + b).orElse("nothing");
+    }
+
+    private static String time(double ms) {
+        return Double.isNaN(ms) ? "none" : String.format(Locale.ROOT, "%.6f", ms / SECOND);
+    }
+}
--- /dev/null
+++ b/frontend/src/main/java/quincespar/program/CapturedInstances.java
@@ -0,0 +1,49 @@
+package quincespar.program;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import quincespar.decision.Gateway;
+import quincespar.settings.Settings;
+import quincespar.simulator.WireHost;
+
+/** The adapter with each instance captured, into one folder. Nothing waits for the folder, also not in the simulator. */
+final class CapturedInstances {
+    private final Path folder;
+    private final Clock clock = new Clock();
+    private final List<Capturing> all = new ArrayList<>();
+
+    private CapturedInstances(Path folder) {
+        this.folder = folder;
+    }
+
+    /** Answers batches until the input ends; throws where the folder can't be used. */
+    static void serve(Path folder, InputStream in, OutputStream out) throws IOException, InterruptedException {
+        Files.createDirectories(folder);
+        CapturedInstances made = new CapturedInstances(folder);
+        try {
+            new WireHost(made::make).serve(in, out);
+        } finally {
+            for (Capturing c : made.all) {
+                c.stop();
+            }
+        }
+    }
+
+    private Gateway make(Gateway.Settings settings, long seed) {
+        try {
+            Capturing c = Capturing.into(folder, Settings.defaults(), "i" + all.size(), 0, seed, settings, clock,
+                    System.err::println);
+            all.add(c);
+            c.start();
+            return c.module();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
--- /dev/null
+++ b/frontend/src/main/java/quincespar/program/Capturing.java
@@ -0,0 +1,89 @@
+package quincespar.program;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+import quincespar.capture.CapturedGateway;
+import quincespar.capture.Entry;
+import quincespar.capture.ModuleText;
+import quincespar.capture.Recorder;
+import quincespar.capture.Recording;
+import quincespar.capture.SegmentName;
+import quincespar.capture.Segments;
+import quincespar.capture.StateCodec;
+import quincespar.decision.Brain;
+import quincespar.decision.Gateway;
+import quincespar.settings.Keyword;
+import quincespar.settings.Settings;
+import quincespar.transport.Threads;
+
+/** The capture of one module into a folder, as the operators' file says. */
+final class Capturing {
+    private static final double FIRST_PAUSE_MS = 500, LONGEST_PAUSE_MS = 30_000;
+    /** At the end, what is queued has so long to be written. */
+    private static final long LAST_MS = 2000;
+
+    private final Recorder recorder;
+    private final Thread writer;
+    private final Gateway module;
+
+    private Capturing(Recorder recorder, Gateway module) {
+        this.recorder = recorder;
+        this.module = module;
+        writer = Threads.daemon("capture", recorder);
+    }
+
+    /**
+     * Captures a module that is made here, from {@code now} on its clock; {@code tell} hears of failures and their end.
+     * Throws {@link IOException} where the folder can't be read.
+     */
+    static Capturing into(Path folder, Settings s, String name, double now, long seed, Gateway.Settings settings,
+            Clock clock, Consumer<String> tell) throws IOException {
+        CaptureFolder store = new CaptureFolder(folder);
+        Segments.Limits limits = new Segments.Limits((long) s.number(Keyword.CAPTURE_SEGMENT),
+                s.number(Keyword.CAPTURE_EVERY), (long) s.number(Keyword.CAPTURE_TOTAL), s.number(Keyword.CAPTURE_KEEP),
+                FIRST_PAUSE_MS, LONGEST_PAUSE_MS);
+        Segments segments = new Segments(limits, new SegmentName(name, System.currentTimeMillis(), 0), store.list(),
+                clock.now());
+        Entry.Opening opening = new Entry.Opening(name, now, seed, new Main.Version().getVersion()[0],
+                ModuleText.digest(Brain.class), settings);
+        Recorder recorder = new Recorder(new Recording(opening, segments, store, tell), s.count(Keyword.CAPTURE_RING),
+                s.number(Keyword.CAPTURE_FLUSH), clock::now);
+        return new Capturing(recorder, new CapturedGateway(new Brain(settings, seed), recorder,
+                new StateCodec(Brain.class)::write));
+    }
+
+    /** The module, captured. */
+    Gateway module() {
+        return module;
+    }
+
+    void start() {
+        writer.start();
+    }
+
+    /** Writes what was taken, and ends; waits for that, but not for a folder that stands still. */
+    void stop() throws InterruptedException {
+        if (writer.isAlive()) {
+            if (!recorder.stop()) {
+                writer.interrupt();
+            }
+            writer.join(LAST_MS);
+        }
+    }
+
+    /** What has been captured, for the counters. */
+    Map<String, Long> counts() {
+        Recording.Counts c = recorder.counts();
+        Map<String, Long> out = new LinkedHashMap<>();
+        out.put("capture.calls", c.calls());
+        out.put("capture.lost", c.lost() + recorder.losing());
+        out.put("capture.bytes", c.bytes());
+        out.put("capture.segments", c.segments());
+        out.put("capture.dropped", c.dropped());
+        out.put("capture.failures", c.failures());
+        return out;
+    }
+}
--- a/frontend/src/main/java/quincespar/program/FrontEnd.java
+++ b/frontend/src/main/java/quincespar/program/FrontEnd.java
@@ -1,6 +1,7 @@
 package quincespar.program;
 
 import java.io.IOException;
+import java.nio.file.Path;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -15,6 +16,7 @@
 import quincespar.routing.Effect;
 import quincespar.routing.Input;
 import quincespar.routing.Reducer;
+import quincespar.settings.Keyword;
 import quincespar.settings.Settings;
 import quincespar.transport.EventLoop;
 import quincespar.transport.Listener;
@@ -52,6 +54,8 @@
     private Map<String, Object> inForce;
     private final Bounds bounds;
     private final Reducer reducer;
+    /** Null where nothing is captured. */
+    private final Capturing capturing;
     private final EventLoop clientLoop = new EventLoop("clients");
     private final EventLoop engineLoop = new EventLoop("engines");
     private final Siblings siblings;
@@ -73,7 +77,11 @@
         Configuration c = read.configuration();
         configuration = c;
         bounds = c.bounds(settings);
-        reducer = new Reducer(c.site(), bounds, new Brain(c.site().module(), c.seed()));
+        String folder = settings.word(Keyword.CAPTURE_FOLDER);
+        capturing = folder.isEmpty() ? null : Capturing.into(Path.of(folder), settings, c.name(), clock.now(), c.seed(),
+                c.site().module(), clock, line -> log.info("{}: {}", c.name(), line));
+        reducer = new Reducer(c.site(), bounds, capturing == null ? new Brain(c.site().module(), c.seed())
+                : capturing.module());
         if (c.admin() != null) { // first, so that its "not ready" is heard while the rest starts
             status = new StatusAddress(c.admin(), timers, StatusAddress.LONGEST_MS, lifecycle::ready,
                     () -> Exposition.text(figures));
@@ -91,6 +99,9 @@
     /** Serves until told to stop and all that was taken is answered; throws where the address can't be bound. */
     void run() throws IOException, InterruptedException {
         try {
+            if (capturing != null) {
+                capturing.start();
+            }
             start();
             while (lifecycle.phase() != Phase.STOPPED) {
                 step(inputs.take());
@@ -99,6 +110,9 @@
                 }
             }
         } finally {
+            if (capturing != null) {
+                capturing.stop();
+            }
             lifecycle.enter(Phase.STOPPED); // whoever waits for the end must not wait for good
         }
     }
@@ -316,6 +330,9 @@
         reducer.held().forEach((name, n) -> all.put(name, n.toString()));
         all.put("changes.age_ms", Long.toString(Math.round(reducer.listAge(clock.now()))));
         reducer.tally().forEach((name, n) -> all.put(name, n.toString()));
+        if (capturing != null) {
+            capturing.counts().forEach((name, n) -> all.put(name, n.toString()));
+        }
         all.put("steps.us", stepUs.toString());
         all.put("steps.longest_us", longestStepUs.toString());
         ProcessHandle.current().info().totalCpuDuration().ifPresent(d -> all.put("cpu.ms", Long.toString(d.toMillis())));
--- a/frontend/src/main/java/quincespar/program/Main.java
+++ b/frontend/src/main/java/quincespar/program/Main.java
@@ -21,7 +21,7 @@
 
 /** The command line. */
 @Command(name = "quincespar", description = "A front end before shared query engines.",
-        mixinStandardHelpOptions = true, versionProvider = Main.Version.class)
+        mixinStandardHelpOptions = true, versionProvider = Main.Version.class, subcommands = CaptureCommands.class)
 public final class Main implements Callable<Integer> {
     private static final int USAGE = 2;
 
@@ -60,9 +60,15 @@
 
     @Command(name = "adapter", description = "Host the decision module on the simulator's wire, on standard input"
             + " and output.")
-    int adapter() throws IOException {
+    int adapter(@CommandLine.Option(names = "--capture", paramLabel = "DIR",
+            description = "Write all that each instance is told and decides to segments there.") Path folder)
+            throws IOException, InterruptedException {
         try {
-            new WireHost().serve(System.in, System.out);
+            if (folder == null) {
+                new WireHost().serve(System.in, System.out);
+            } else {
+                CapturedInstances.serve(folder, System.in, System.out);
+            }
             return 0;
         } catch (WireException e) {
             throw new IOException(e.getMessage(), e);
@@ -137,6 +143,17 @@
         return 0;
     }
 
+    @Command(name = "replay", description = "Play captures again on this build's module: exit code 0 where it decides the"
+            + " same, 1 where it parts, with the calls before.")
+    int replay(@CommandLine.Parameters(paramLabel = "DIR") Path folder,
+            @CommandLine.Option(names = "--from", paramLabel = "SERIAL", defaultValue = "1",
+            description = "The number of the first segment that is played.") int from,
+            @CommandLine.Option(names = "--decisions", paramLabel = "FILE",
+            description = "Write the decisions there, a line for each call that had some.") Path decisions)
+            throws IOException {
+        return CaptureCommands.replay(folder, from, decisions);
+    }
+
     @Command(name = "rehearse", description = "Start and end once on loopback, for the build to archive what a start"
             + " loads.")
     int rehearse() throws IOException, InterruptedException {
--- a/frontend/src/main/java/quincespar/settings/ConfReader.java
+++ b/frontend/src/main/java/quincespar/settings/ConfReader.java
@@ -148,7 +148,7 @@
                 problem(v.getStart(), "'" + k.word + "' takes " + k.expected() + ", not '" + text + "'"
                         + nearest(text, k.choices));
             }
-        } else {
+        } else if (k.isQuantity()) {
             double n = Quantity.read(k.type, text);
             if (Double.isNaN(n)) {
                 problem(v.getStart(), "'" + k.word + "' takes " + k.expected() + ", not '" + text + "'");
--- a/frontend/src/main/java/quincespar/settings/Keyword.java
+++ b/frontend/src/main/java/quincespar/settings/Keyword.java
@@ -44,7 +44,27 @@
     CHANGES_LONGEST_PAUSE("change-log", "longest-pause", Type.TIME, "1s", 10, 60_000, "The longest such pause."),
     /** When a list is stale. */
     CHANGES_STALE("change-log", "stale-after", Type.TIME, "10s", 1000, 3_600_000,
-            "With no whole answer for so long the list is logged as stale; it stays in use.");
+            "With no whole answer for so long the list is logged as stale; it stays in use."),
+    /** Where captures go. */
+    CAPTURE_FOLDER("capture", "folder", Type.TEXT, "",
+            "All that the module is told and decides is written to segments in this folder; with \"\" nothing is."),
+    /** Where a segment ends. */
+    CAPTURE_SEGMENT("capture", "segment", Type.SIZE, "16m", 65_536, 1L << 34, "A segment of so many bytes is full."),
+    /** How long a segment lasts. */
+    CAPTURE_EVERY("capture", "every", Type.TIME, "10m", 1000, 86_400_000,
+            "A segment ends after so long at the latest; each begins with the module's state."),
+    /** What all segments hold. */
+    CAPTURE_TOTAL("capture", "total", Type.SIZE, "256m", 131_072, 1L << 40,
+            "All segments in the folder hold so many bytes at the most, two segments at the least: the oldest go."),
+    /** How long segments are kept. */
+    CAPTURE_KEEP("capture", "keep", Type.TIME, "24h", 1000, 8_640_000_000.0,
+            "A segment goes so long after its end."),
+    /** When what was written is safe. */
+    CAPTURE_FLUSH("capture", "flush", Type.TIME, "500ms", 10, 60_000,
+            "How often what was written is handed to the system: so much is lost at the most by a kill."),
+    /** Calls that wait for the writer. */
+    CAPTURE_RING("capture", "ring", Type.COUNT, "1024", 64, 1_000_000,
+            "Calls that may wait for the writer; more are lost and counted, as the module never waits.");
 
     /** What a value is, and how it is written. */
     public enum Type {
@@ -54,6 +74,10 @@
         TIME("a time as 250ms, 2s, 5m or 1h"),
         /** A percentage. */
         PERCENT("a percentage as 38%"),
+        /** Bytes, written with k, m or g. */
+        SIZE("a size as 64k, 16m or 1g"),
+        /** Any text. */
+        TEXT("a text, in double quotes where it has blanks"),
         /** One of some words. */
         CHOICE("one of");
 
@@ -73,6 +97,10 @@
     final List<String> choices;
     final String meaning;
 
+    Keyword(String block, String word, Type type, String absent, String meaning) {
+        this(block, word, type, absent, 0, 0, List.of(), meaning);
+    }
+
     Keyword(String block, String word, Type type, String absent, String choices, String meaning) {
         this(block, word, type, absent, 0, 0, List.of(choices.split("\\|")), meaning);
     }
@@ -93,6 +121,11 @@
         this.meaning = meaning;
     }
 
+    /** Whether its value is a number within a range. */
+    boolean isQuantity() {
+        return type != Type.CHOICE && type != Type.TEXT;
+    }
+
     static List<String> blocks() {
         return Arrays.stream(values()).map(k -> k.block).distinct().toList();
     }
@@ -101,6 +134,11 @@
         return Arrays.stream(values()).filter(k -> k.block.equals(block)).toList();
     }
 
+    /** The default as it stands in a file. */
+    String written() {
+        return absent.isEmpty() ? "\"\"" : absent;
+    }
+
     /** What a value must look like, in words. */
     String expected() {
         return type == Type.CHOICE ? type.wording + " " + String.join(", ", choices) : type.wording;
@@ -115,6 +153,7 @@
         return switch (type) {
             case TIME -> Quantity.time(n);
             case PERCENT -> Math.round(n) + "%";
+            case SIZE -> Quantity.size(n);
             default -> Long.toString(Math.round(n));
         };
     }
--- a/frontend/src/main/java/quincespar/settings/Settings.java
+++ b/frontend/src/main/java/quincespar/settings/Settings.java
@@ -17,7 +17,7 @@
         return new Settings(Map.of());
     }
 
-    /** A quantity in its base unit: milliseconds, per cent, one. */
+    /** A quantity in its base unit: milliseconds, bytes, per cent, one. */
     public double number(Keyword k) {
         return Quantity.read(k.type, word(k));
     }
@@ -27,7 +27,7 @@
         return (int) number(k);
     }
 
-    /** A word, as written. */
+    /** A word or text, as written, without its quotes. */
     public String word(Keyword k) {
         return texts.getOrDefault(k, k.absent);
     }
@@ -39,8 +39,8 @@
             out.append(out.length() == 0 ? "" : "\n").append(block).append(" {\n");
             for (Keyword k : Keyword.in(block)) {
                 out.append("    # ").append(k.meaning).append(" Takes ").append(k.expected());
-                out.append(k.type == Keyword.Type.CHOICE ? "" : ", " + k.range()).append(".\n");
-                out.append("    ").append(k.word).append(' ').append(k.absent).append('\n');
+                out.append(k.isQuantity() ? ", " + k.range() : "").append(".\n");
+                out.append("    ").append(k.word).append(' ').append(k.written()).append('\n');
             }
             out.append("}\n");
         }
--- a/frontend/src/main/java/quincespar/simulator/WireHost.java
+++ b/frontend/src/main/java/quincespar/simulator/WireHost.java
@@ -33,7 +33,7 @@
     }
 
     /** Makes the module of one instance. */
-    interface Maker {
+    public interface Maker {
         Gateway make(Gateway.Settings settings, long seed);
     }
 
@@ -47,7 +47,8 @@
         this(Brain::new);
     }
 
-    WireHost(Maker maker) {
+    /** A host of modules that are made by someone else. */
+    public WireHost(Maker maker) {
         this.maker = maker;
     }
 
--- a/frontend/src/test/java/quincespar/LayersTest.java
+++ b/frontend/src/test/java/quincespar/LayersTest.java
@@ -24,6 +24,7 @@
                 .layer("protocol").definedBy("quincespar.protocol..")
                 .layer("transport").definedBy("quincespar.transport..")
                 .layer("decision").definedBy("quincespar.decision..")
+                .layer("capture").definedBy("quincespar.capture..")
                 .whereLayer("program").mayNotBeAccessedByAnyLayer()
                 .whereLayer("simulator").mayOnlyBeAccessedByLayers("program")
                 .whereLayer("settings").mayOnlyBeAccessedByLayers("program")
@@ -32,7 +33,8 @@
                 .whereLayer("membership").mayOnlyBeAccessedByLayers("program", "routing")
                 .whereLayer("protocol").mayOnlyBeAccessedByLayers("program", "routing", "membership")
                 .whereLayer("transport").mayOnlyBeAccessedByLayers("program", "routing")
-                .whereLayer("decision").mayOnlyBeAccessedByLayers("program", "routing", "simulator")
+                .whereLayer("decision").mayOnlyBeAccessedByLayers("program", "routing", "simulator", "capture")
+                .whereLayer("capture").mayOnlyBeAccessedByLayers("program")
                 .check(all);
     }
 
--- /dev/null
+++ b/frontend/src/test/java/quincespar/program/CaptureStoryTest.java
@@ -0,0 +1,164 @@
+package quincespar.program;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import quincespar.capture.Captures;
+import quincespar.capture.SegmentName;
+import quincespar.settings.ConfReader;
+import quincespar.settings.Settings;
+
+/** The whole program with a capture into a folder, and what the command line then says of it. */
+@Timeout(60)
+class CaptureStoryTest {
+    @TempDir
+    private Path folder;
+    private Path captures;
+    private Peers.Engine engine;
+    private int port;
+    private int requests;
+    private CompletableFuture<Void> running;
+
+    @BeforeEach
+    void peers() throws IOException {
+        engine = new Peers.Engine();
+        Peers.Changes changes = new Peers.Changes();
+        port = Peers.freePort();
+        captures = Files.createDirectory(folder.resolve("captures"));
+        Files.writeString(folder.resolve("config.json"), Peers.configuration(port, changes, engine, Peers.LOOKUP, Peers.LOAD));
+    }
+
+    private record Said(int code, String out) { }
+
+    private static Said command(Object... words) {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        PrintStream before = System.out;
+        PrintStream errors = System.err;
+        try (PrintStream to = new PrintStream(out, true, StandardCharsets.UTF_8)) {
+            System.setOut(to);
+            System.setErr(to);
+            int code = Main.run(java.util.Arrays.stream(words).map(String::valueOf).toArray(String[]::new));
+            return new Said(code, out.toString(StandardCharsets.UTF_8));
+        } finally {
+            System.setOut(before);
+            System.setErr(errors);
+        }
+    }
+
+    /** The program with its capture; its engine answers all that comes. */
+    private FrontEnd start() throws Exception {
+        Settings settings = ConfReader.read("f", "capture {\n folder \"" + captures + "\"\n every 1s\n flush 10ms\n}\n");
+        FrontEnd frontEnd = new FrontEnd(Map.of("GW_CONFIG", folder.resolve("config.json").toString()), settings,
+                Logs.start(settings));
+        running = Peers.beside(frontEnd::run);
+        Peers.beside(() -> {
+            while (!running.isDone()) {
+                Peers.Engine.Command c = engine.commands.poll(10, TimeUnit.MILLISECONDS);
+                if (c != null && c.words().get(0).equals("serve")) {
+                    c.answer(c.id(), "DONE", "count=1", "row\ta\tb\n");
+                }
+            }
+        });
+        Peers.untilHealthy(port);
+        return frontEnd;
+    }
+
+    /** Asks until a counter is so high. */
+    private void ask(Peers.Client c, String counter, long wanted) throws Exception {
+        do {
+            String txn = String.format("%016x", ++requests);
+            c.call(requests, Peers.fields(requests % 3 == 0 ? "load" : "lookup", txn));
+            c.frame();
+        } while (Long.parseLong(c.counters().get(counter)) < wanted);
+    }
+
+    /** One life of the program, from its start to its end in order. */
+    private Map<String, String> live(int calls) throws Exception {
+        FrontEnd frontEnd = start();
+        Map<String, String> counters;
+        try (Peers.Client c = new Peers.Client(port)) {
+            ask(c, "capture.calls", calls);
+            counters = c.counters();
+        }
+        Peers.beside(frontEnd::leave).join();
+        running.join();
+        return counters;
+    }
+
+    @Test
+    void whatTheProgramDecidedIsDecidedAgain() throws Exception {
+        Map<String, String> counters = live(24);
+        assertThat(counters).containsEntry("capture.lost", "0").containsEntry("capture.failures", "0");
+        Said replay = command("replay", captures);
+        assertThat(replay.code()).as(replay.out()).isZero();
+        assertThat(replay.out()).contains(" lost=0", "other-states=0").containsPattern("decisions=[1-9]");
+        Path decisions = folder.resolve("decisions");
+        assertThat(command("replay", captures, "--decisions", decisions).out().lines().findFirst())
+                .isEqualTo(replay.out().lines().findFirst());
+        assertThat(Files.readString(decisions)).contains("Send[id=");
+        Said verify = command("capture", "verify", captures);
+        assertThat(verify.code()).as(verify.out()).isZero();
+        assertThat(command("capture", "info", captures).out()).contains("n1 started ", "(this build's)",
+                "classes=[lookup, load]");
+        assertThat(command("capture", "list", captures).out()).contains("-000001.qcap bytes=").contains("state=no");
+    }
+
+    @Test
+    void aCaptureThatLostItsTailIsToldAndPlaysUpToThere() throws Exception {
+        live(6);
+        SegmentName first = new Captures(new CaptureFolder(captures)).names().get(0);
+        Path file = captures.resolve(first.file());
+        byte[] whole = Files.readAllBytes(file);
+        Files.write(file, java.util.Arrays.copyOf(whole, whole.length - 5));
+        Said verify = command("capture", "verify", captures);
+        assertThat(verify.code()).isEqualTo(1);
+        assertThat(verify.out()).contains("gap in or before " + first.file()).contains("cut off within a record");
+        assertThat(command("replay", captures).code()).isZero();
+    }
+
+    @Test
+    void aTimeIsCutOutAndPlaysByItself() throws Exception {
+        live(12);
+        Captures.Segment s = new Captures(new CaptureFolder(captures)).read(new Captures(new CaptureFolder(captures)).names()
+                .get(0));
+        Path out = folder.resolve("cut");
+        Said cut = command("capture", "cut", captures, "--from", s.from() / 1000, "--to", s.to() / 1000 + 60, "--out", out);
+        assertThat(cut.code()).as(cut.out()).isZero();
+        assertThat(command("replay", out).code()).isZero();
+        assertThat(command("capture", "cut", captures, "--from", 1, "--to", 2, "--out", folder.resolve("none")).code())
+                .isEqualTo(1);
+        assertThat(command("replay", folder.resolve("cut-none")).code()).isEqualTo(1);
+    }
+
+    /** The folder goes under the program: calls are lost and counted, and its clients do not notice. */
+    @Test
+    void aFolderThatIsTakenAwayHoldsUpNobody() throws Exception {
+        FrontEnd frontEnd = start();
+        Path aside = folder.resolve("aside");
+        Files.move(captures, aside);
+        try (Peers.Client c = new Peers.Client(port)) {
+            ask(c, "capture.failures", 1);
+            Files.move(aside, captures);
+            ask(c, "capture.segments", 2);
+            ask(c, "capture.calls", 1 + Long.parseLong(c.counters().get("capture.calls")));
+        }
+        Peers.beside(frontEnd::leave).join();
+        running.get(30, TimeUnit.SECONDS);
+        Said verify = command("capture", "verify", captures);
+        assertThat(verify.code()).isEqualTo(1);
+        assertThat(verify.out()).contains("calls lost: ");
+        assertThat(command("replay", captures).code()).isZero();
+    }
+}
--- a/frontend/src/test/java/quincespar/program/Peers.java
+++ b/frontend/src/test/java/quincespar/program/Peers.java
@@ -17,6 +17,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import quincespar.protocol.thrift.FrontCodec;
@@ -73,6 +75,42 @@
         }
     }
 
+    /** Classes as a configuration has them. */
+    static final String LOOKUP = "{\"name\":\"lookup\",\"slo\":2000,\"hardLimit\":4000,\"effect\":\"safe\"}";
+    static final String LOAD = LOOKUP.replace("lookup", "load").replace("safe", "unsafe");
+
+    /** A configuration with one engine and these classes. */
+    static String configuration(int port, Changes changes, Engine engine, String... classes) {
+        return """
+            {"name":"n1","listen":"127.0.0.1:%d","seed":"1","limits":{"sockets":64},"changelog":"127.0.0.1:%d",
+             "known":{"seq":1,"results":[{"seq":1,"fleet":{"revision":1,"complete":true,
+             "members":[{"id":"s-1","host_port":"127.0.0.1:%d","phase":"up","size":4}]}}]},
+             "settings":{"tick":5,"limits":{"cancelling":true,"maxAttempts":3,"maxStreams":100},
+             "projects":[{"name":"acme","quotaPerS":50,"share":1}],"requestClasses":[%s]}}
+            """.formatted(port, changes.server.getLocalPort(), engine.server.getLocalPort(), String.join(",", classes));
+    }
+
+    /** The fields of a request of that class. */
+    static Map<String, String> fields(String verb, String txn) {
+        return Map.of("verb", verb, "txn", txn, "limit", "3000", "team", "acme", "cpu", "10.0", "heap_mb", "1");
+    }
+
+    /** Something that may take its time. */
+    interface Part {
+        void run() throws IOException, InterruptedException;
+    }
+
+    /** Runs it on a thread of its own. */
+    static CompletableFuture<Void> beside(Part part) {
+        return CompletableFuture.runAsync(() -> {
+            try {
+                part.run();
+            } catch (IOException | InterruptedException e) {
+                throw new CompletionException(e);
+            }
+        }, r -> new Thread(r).start());
+    }
+
     /** SIGTERM. */
     static void term(Process p) {
         p.destroy();
--- a/frontend/src/test/java/quincespar/settings/ConfReaderTest.java
+++ b/frontend/src/test/java/quincespar/settings/ConfReaderTest.java
@@ -25,7 +25,7 @@
             assertThat(read.word(k)).isEqualTo(Settings.defaults().word(k)).isEqualTo(k.absent);
         }
         for (Keyword k : Keyword.values()) {
-            assertThat(Settings.template()).contains("    " + k.word + " " + k.absent + "\n", k.meaning);
+            assertThat(Settings.template()).contains("    " + k.word + " " + k.written() + "\n", k.meaning);
         }
     }
 
@@ -34,12 +34,23 @@
         for (Keyword k : Keyword.values()) {
             if (k.type == Keyword.Type.CHOICE) {
                 assertThat(k.choices).contains(k.absent);
-            } else {
+            } else if (k.isQuantity()) {
                 assertThat(Quantity.read(k.type, k.absent)).as(k.word).isBetween(k.least, k.most);
             }
         }
     }
 
+    @Test
+    void sizesAndTextsAreTaken() throws ConfException {
+        Settings s = ConfReader.read("f", "capture {\n folder \"/a b\"\n segment 96k\n total 2g\n}\n");
+        assertThat(s.word(Keyword.CAPTURE_FOLDER)).isEqualTo("/a b");
+        assertThat(s.number(Keyword.CAPTURE_SEGMENT)).isEqualTo(96 * 1024);
+        assertThat(s.number(Keyword.CAPTURE_TOTAL)).isEqualTo(2.0 * (1 << 30));
+        assertThat(problems("capture {\n segment 1t\n total 1k\n}\n")).containsExactly(
+                "f:2:10: 'segment' takes a size as 64k, 16m or 1g, not '1t'",
+                "f:3:8: 'total' is 1k; it must lie in 128k to 1024g");
+    }
+
     @Test
     void commentsBlankLinesQuotesAndEitherEndOfLineAreTaken() throws ConfException {
         Settings s = ConfReader.read("f", "# all\r\n\r\nlog { # block\r\n\tformat \"json\" # words\r\n}\r\nlinks {\n}\n");
