Explain from a capture why each engine was chosen or ruled out, and check rules in replays

Need: a record of calls says what was decided, not why; the question on call is 'why did it go there'. Change: Insight (package decision) looks into a module restored from a captured state: it goes up to the first choice of a call as the module does, and names for each engine the first guard that ruled it out, or its figure. Not taken: a second way through Brain that writes down its reasons, as it would cost lines there and time in service. Found by the scenes: RuleCheck first took an end that is told again for one; the module rightly ignores it.

--- /dev/null
+++ b/capture/src/main/java/quincespar/capture/Explain.java
@@ -0,0 +1,141 @@
+package quincespar.capture;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Locale;
+import java.util.function.Consumer;
+import quincespar.decision.Brain;
+import quincespar.decision.Gateway;
+import quincespar.decision.Gateway.Action;
+import quincespar.decision.Gateway.Event;
+import quincespar.decision.Insight;
+
+/** Tells from a capture, in lines for people, what became of a request and why, or what was known of an engine. */
+public final class Explain {
+    private static final double SECOND = 1000;
+
+    private final Captures captures;
+    private final BrainModules modules = new BrainModules();
+    private final Consumer<String> to;
+    private int told;
+
+    /** Tells {@code to} line by line. */
+    public Explain(Captures captures, Consumer<String> to) {
+        this.captures = captures;
+        this.to = to;
+    }
+
+    /** The story of a request by its number; false where no segment tells of it. */
+    public boolean request(List<SegmentName> names, long id) throws IOException {
+        Replay replay = new Replay(modules);
+        captures.entries(names, (name, e) -> {
+            Insight before = e instanceof Entry.Call c && sends(c, id) && replay.module() instanceof Brain b
+                    ? new Insight(copy(b)) : null;
+            boolean more = replay.play(e);
+            if (e instanceof Entry.Call c) {
+                c.events().stream().filter(x -> concerns(x, id)).forEach(x -> say(c.time(), event(x)));
+                if (before != null) {
+                    before.choices(c.time(), c.events(), c.actions()).stream().filter(x -> x.request() == id)
+                            .forEach(x -> choice(c.time(), x));
+                }
+                c.actions().stream().filter(a -> concerns(a, id) && (before == null || !(a instanceof Gateway.Send)))
+                        .forEach(a -> say(c.time(), action(a)));
+            }
+            return more;
+        });
+        parted(replay.result());
+        return told > 0;
+    }
+
+    /** What was known of an engine at a time, in milliseconds; false where the capture does not reach it. */
+    public boolean engine(List<SegmentName> names, long engine, double at) throws IOException {
+        Replay replay = new Replay(modules);
+        captures.entries(names, (name, e) -> !(e instanceof Entry.Call c && c.time() > at) && replay.play(e));
+        if (replay.module() instanceof Brain b) {
+            new Insight(copy(b)).engines().forEach((cls, views) -> views.stream().filter(v -> v.engine() == engine)
+                    .forEach(v -> say(at, "engine " + engine + " for " + cls + ": " + view(v))));
+        }
+        return told > 0;
+    }
+
+    private Brain copy(Brain b) throws IOException {
+        return (Brain) modules.restored(new Entry.State(0, modules.state(b)));
+    }
+
+    private static boolean sends(Entry.Call c, long id) {
+        return c.actions().stream().anyMatch(a -> a instanceof Gateway.Send s && s.id() == id);
+    }
+
+    private void parted(Replay.Result r) {
+        if (r.parting() != null) {
+            to.accept("from here on this build decides otherwise (call " + r.parting().call() + "): the story ends");
+        }
+        if (r.lost() > 0) {
+            to.accept("calls that the capture does not have: " + r.lost());
+        }
+    }
+
+    private void say(double ms, String what) {
+        told++;
+        to.accept(String.format(Locale.ROOT, "%.3f  %s", ms / SECOND, what));
+    }
+
+    private void choice(double time, Insight.Choice c) {
+        say(time, String.format(Locale.ROOT, "attempt %d goes to engine %d: %s, %.0f ms old, expected to take %.0f ms",
+                c.attempt(), c.chosen(), c.cls(), c.age(), c.expected()));
+        c.engines().forEach(v -> to.accept("           " + (v.engine() == c.chosen() ? "* " : "  ") + "engine " + v.engine()
+                + ": " + view(v)));
+    }
+
+    private static String view(Insight.View v) {
+        StringBuilder out = new StringBuilder(v.verdict());
+        if (!Double.isNaN(v.figure())) {
+            out.append(String.format(Locale.ROOT, " %.4g", v.figure()));
+        }
+        out.append(String.format(Locale.ROOT, "; takes %.0f ms; %d threads out", v.meanTime(), v.threads()));
+        out.append(v.pooled() ? ", bound shared by all " : ", bound ").append(String.format(Locale.ROOT, "%.1f", v.width()));
+        out.append(Double.isNaN(v.reportAge()) ? "; no report" : String.format(Locale.ROOT,
+                "; report of %.2f a core, %.0f ms old", v.report(), v.reportAge()));
+        if (!Double.isNaN(v.retryIn())) {
+            out.append(String.format(Locale.ROOT, "; shunned, tried again in %.0f ms", v.retryIn()));
+        }
+        if (!Double.isNaN(v.coldLeft())) {
+            out.append(String.format(Locale.ROOT, "; cold, %.0f ms of work left", v.coldLeft()));
+        }
+        return out.toString();
+    }
+
+    private static boolean concerns(Event e, long id) {
+        return e instanceof Gateway.Request r && r.id() == id || e instanceof Gateway.Ended x && x.id() == id
+                || e instanceof Gateway.Note n && n.id() == id || e instanceof Gateway.Left l && l.id() == id
+                || e instanceof Gateway.Started s && s.id() == id;
+    }
+
+    private static boolean concerns(Action a, long id) {
+        return a instanceof Gateway.Send s && s.id() == id || a instanceof Gateway.Refuse r && r.id() == id
+                || a instanceof Gateway.Fail f && f.id() == id || a instanceof Gateway.Cancel c && c.id() == id;
+    }
+
+    private static String event(Event e) {
+        if (e instanceof Gateway.Request r) {
+            return String.format(Locale.ROOT, "request %d is taken: class %d, %.0f ms of patience, estimate %.0f ms%s", r.id(),
+                    r.cls(), r.patience(), r.work(), r.retry() ? ", asked again" : "");
+        } else if (e instanceof Gateway.Ended x) {
+            return String.format(Locale.ROOT, "attempt %d at engine %d ended after %.0f ms: %s", x.attempt(), x.engine(),
+                    x.latency(), x.outcome().name().toLowerCase(Locale.ROOT));
+        } else if (e instanceof Gateway.Note n) {
+            return String.format(Locale.ROOT, "engine %d says of attempt %d: %s %.2f", n.engine(), n.attempt(),
+                    n.kind().name().toLowerCase(Locale.ROOT), n.value());
+        }
+        return e instanceof Gateway.Left ? "the client has left" : "its answer has started";
+    }
+
+    private static String action(Action a) {
+        if (a instanceof Gateway.Cancel c) {
+            return "attempt " + c.attempt() + " is given up: " + c.why().name().toLowerCase(Locale.ROOT);
+        } else if (a instanceof Gateway.Refuse r) {
+            return String.format(Locale.ROOT, "it is turned away, to come back after %.0f ms", r.comeBack());
+        }
+        return a instanceof Gateway.Send s ? "an attempt goes to engine " + s.engine() : "it is answered as failed";
+    }
+}
--- a/capture/src/main/java/quincespar/capture/Replay.java
+++ b/capture/src/main/java/quincespar/capture/Replay.java
@@ -114,6 +114,11 @@
         return true;
     }
 
+    /** The module as it stands, null where nothing can be played before the next state. */
+    Gateway module() {
+        return module;
+    }
+
     /** What has come of it so far; the digest is over all decisions, as hex. */
     public Result result() {
         try {
--- /dev/null
+++ b/capture/src/main/java/quincespar/capture/RuleCheck.java
@@ -0,0 +1,155 @@
+package quincespar.capture;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import quincespar.decision.Gateway;
+import quincespar.decision.Gateway.Action;
+import quincespar.decision.Gateway.ClassSpec;
+import quincespar.decision.Gateway.EngineState;
+import quincespar.decision.Gateway.Event;
+
+/**
+ * Holds captured calls against the rules that can be seen in them: what may not run twice is sent once unless it is proven
+ * never to have run, and not refused after it may have; one attempt of a request is out at a time; nothing new goes to an
+ * engine that drains, once the grace is over; a request has one final answer. It knows requests and engines from where it
+ * begins; of what was open before it says nothing. The cold rule is the fleet's, and is not seen in one front end's calls.
+ */
+public final class RuleCheck {
+    /** Of so many requests that are over it is still known that they are. */
+    private static final int REMEMBERED = 10_000;
+    /** So many breaches are kept in words; all are counted. */
+    private static final int MOST = 20;
+
+    private static final class Open {
+        private final ClassSpec spec;
+        private final List<Gateway.Outcome> attempts = new ArrayList<>();
+        private boolean over;
+
+        Open(ClassSpec spec) {
+            this.spec = spec;
+        }
+
+        long out() {
+            return attempts.stream().filter(o -> o == null).count();
+        }
+
+        boolean mayHaveRun() {
+            return attempts.stream().anyMatch(o -> o == null || !o.neverRan);
+        }
+    }
+
+    private final Map<Long, Open> requests = new LinkedHashMap<>();
+    private final Set<Long> ended = new LinkedHashSet<>();
+    private final Map<Long, Double> notReadySince = new HashMap<>();
+    private final List<String> breaches = new ArrayList<>();
+    private Gateway.Settings settings;
+    private long count;
+
+    /** Takes one entry. */
+    public void take(Entry e) {
+        if (e instanceof Entry.Opening o) {
+            settings = settings == null ? o.settings() : settings;
+        } else if (e instanceof Entry.Gap) {
+            ended.clear();
+            requests.clear(); // what became of them is not known
+            notReadySince.clear();
+        } else if (e instanceof Entry.Call c && settings != null) {
+            c.events().forEach(x -> happened(c.time(), x));
+            c.actions().forEach(x -> decided(c.time(), x));
+        }
+    }
+
+    private void happened(double now, Event e) {
+        if (e instanceof Gateway.Request r && r.cls() >= 0 && r.cls() < settings.classes().size()) {
+            requests.putIfAbsent(r.id(), new Open(settings.classes().get(r.cls())));
+        } else if (e instanceof Gateway.Configured c) {
+            settings = c.settings();
+        } else if (e instanceof Gateway.Listed l) {
+            l.engines().forEach(n -> {
+                if (n.state() == EngineState.READY) {
+                    notReadySince.remove(n.id());
+                } else {
+                    notReadySince.putIfAbsent(n.id(), now);
+                }
+            });
+        } else if (e instanceof Gateway.Ended x && requests.get(x.id()) instanceof Open) {
+            Open r = requests.get(x.id());
+            if (x.attempt() >= 0 && x.attempt() < r.attempts.size() && r.attempts.get(x.attempt()) == null) {
+                r.attempts.set(x.attempt(), x.outcome()); // an end that is told again says nothing
+                r.over |= x.over();
+                forget(x.id(), r);
+            }
+        } else if (e instanceof Gateway.Left l && requests.containsKey(l.id())) {
+            requests.get(l.id()).over = true;
+            forget(l.id(), requests.get(l.id()));
+        }
+    }
+
+    private void decided(double now, Action a) {
+        if (a instanceof Gateway.Send s && ended.contains(s.id())) {
+            require(false, now, s.id(), "is sent after its end");
+        } else if (a instanceof Gateway.Refuse r && ended.contains(r.id())) {
+            require(false, now, r.id(), "has two final answers");
+        } else if (a instanceof Gateway.Fail f && ended.contains(f.id())) {
+            require(false, now, f.id(), "has two final answers");
+        } else if (a instanceof Gateway.Send s && requests.get(s.id()) instanceof Open) {
+            send(now, s, requests.get(s.id()));
+        } else if (a instanceof Gateway.Refuse r && requests.get(r.id()) instanceof Open) {
+            Open o = requests.get(r.id());
+            require(o.spec.effect() != Gateway.Effect.UNSAFE || !o.mayHaveRun(), now, r.id(),
+                    "is refused after it may have run");
+            answered(now, r.id(), o);
+        } else if (a instanceof Gateway.Fail f && requests.get(f.id()) instanceof Open) {
+            answered(now, f.id(), requests.get(f.id()));
+        }
+    }
+
+    private void send(double now, Gateway.Send s, Open r) {
+        require(!r.over, now, s.id(), "is sent after its end");
+        require(r.spec.effect() != Gateway.Effect.UNSAFE || !r.mayHaveRun(), now, s.id(),
+                "is sent again though it may have run, and may not run twice");
+        require(r.out() == 0 || settings.limits().secondCopies(), now, s.id(), "has two attempts out");
+        Double since = notReadySince.get(s.engine());
+        require(since == null || now - since <= settings.rules().drainGrace(), now, s.id(),
+                "is sent to engine " + s.engine() + ", which takes nothing new");
+        r.attempts.add(null);
+    }
+
+    private void answered(double now, long id, Open r) {
+        require(!r.over, now, id, "has two final answers");
+        r.over = true;
+        forget(id, r);
+    }
+
+    private void forget(long id, Open r) {
+        if (r.over && r.out() == 0) {
+            requests.remove(id);
+            ended.add(id);
+            if (ended.size() > REMEMBERED) {
+                ended.remove(ended.iterator().next());
+            }
+        }
+    }
+
+    private void require(boolean kept, double now, long id, String breach) {
+        if (!kept && count++ < MOST) {
+            breaches.add(String.format(Locale.ROOT, "%.3f request %d %s", now / 1000, id, breach));
+        }
+    }
+
+    /** How often a rule was broken. */
+    public long count() {
+        return count;
+    }
+
+    /** The first breaches, in words. */
+    public List<String> breaches() {
+        return List.copyOf(breaches);
+    }
+}
--- /dev/null
+++ b/capture/src/test/java/quincespar/capture/ExplainTest.java
@@ -0,0 +1,109 @@
+package quincespar.capture;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import quincespar.decision.Brain;
+import quincespar.decision.Gateway;
+import quincespar.decision.Insight;
+import quincespar.decision.Insight.View;
+
+@Timeout(120)
+class ExplainTest {
+    private final StateCodec codec = new StateCodec(Brain.class);
+
+    /**
+     * Held against a whole day: every choice is explained, the chosen engine was open to the request, and no other had a
+     * higher figure (the module's own chance moves figures by a hundredth).
+     */
+    @Test
+    void whatIsToldOfEachChoiceAgreesWithTheChoice() throws IOException {
+        List<Entry> entries = new World(51).play(1200);
+        Brain module = new Brain(World.settings(), 51);
+        Map<String, Integer> verdicts = new HashMap<>();
+        int sends = 0;
+        int told = 0;
+        for (Entry e : entries) {
+            if (e instanceof Entry.Call c) {
+                long now = c.actions().stream().filter(Gateway.Send.class::isInstance).count();
+                if (now > 0) {
+                    sends += now;
+                    List<Insight.Choice> all = new Insight(codec.read(codec.write(module), Brain.class)).choices(c.time(),
+                            c.events(), c.actions());
+                    told += all.size();
+                    all.forEach(x -> check(x, verdicts));
+                }
+                assertThat(module.decide(c.time(), c.events())).isEqualTo(c.actions()); // looking changed nothing
+            }
+        }
+        assertThat(sends).isGreaterThan(1000);
+        assertThat(told).isEqualTo(sends);
+        assertThat(verdicts).containsKeys("chosen", "a lower figure", "it drains", "shunned for",
+                "its bound is full, or its report says so", "cold for");
+    }
+
+    private static void check(Insight.Choice c, Map<String, Integer> verdicts) {
+        View chosen = c.engines().stream().filter(v -> v.engine() == c.chosen()).findFirst().orElseThrow();
+        assertThat(chosen.verdict()).as("%s", c).isEqualTo("chosen");
+        for (View v : c.engines()) {
+            verdicts.merge(v.verdict().replaceAll("(shunned for|cold for|: ).*", "$1").replace(": ", ""), 1, Integer::sum);
+            if (!Double.isNaN(v.figure())) {
+                assertThat(v.figure()).as("%s", c).isLessThanOrEqualTo(1.0101 * chosen.figure());
+            }
+        }
+    }
+
+    private static MemoryStore stored(World w, long seed, int requests) {
+        MemoryStore store = new MemoryStore();
+        store.files.put(new SegmentName("w", 1, 1).file(), new java.io.ByteArrayOutputStream());
+        store.files.get(new SegmentName("w", 1, 1).file()).writeBytes(w.file(w.play(requests)));
+        return store;
+    }
+
+    @Test
+    void aRequestsStoryHasItsChoicesItsEndsAndWhatRuledOutTheOthers() throws IOException {
+        MemoryStore store = stored(new World(52), 52, 400);
+        Captures captures = new Captures(store);
+        Set<String> seen = new HashSet<>();
+        int stories = 0;
+        for (long id = 1; id <= 400; id += 7) {
+            List<String> lines = new ArrayList<>();
+            if (new Explain(captures, lines::add).request(captures.names(), id)) {
+                stories++;
+                assertThat(lines.get(0)).contains("request " + id + " is taken");
+                String all = String.join("\n", lines);
+                for (String word : List.of("* engine", "chosen", "a lower figure", "ended after", "it drains", "shunned",
+                        "is given up", "says of attempt", "turned away")) {
+                    if (all.contains(word)) {
+                        seen.add(word);
+                    }
+                }
+            }
+        }
+        assertThat(stories).isEqualTo(58);
+        assertThat(seen).contains("* engine", "chosen", "a lower figure", "ended after", "shunned", "says of attempt");
+        assertThat(new Explain(captures, l -> { }).request(captures.names(), 99_999)).isFalse();
+    }
+
+    @Test
+    void anEnginesViewIsThatOfTheTimeAskedFor() throws IOException {
+        MemoryStore store = stored(new World(53), 53, 300);
+        Captures captures = new Captures(store);
+        Captures.Segment s = captures.read(captures.names().get(0));
+        List<String> early = new ArrayList<>();
+        List<String> late = new ArrayList<>();
+        assertThat(new Explain(captures, early::add).engine(captures.names(), 3, s.from())).isTrue();
+        assertThat(new Explain(captures, late::add).engine(captures.names(), 3, s.to())).isTrue();
+        assertThat(early).hasSize(3).allMatch(l -> l.contains("takes work"));
+        assertThat(late).hasSize(3).isNotEqualTo(early);
+        assertThat(new Explain(captures, l -> { }).engine(captures.names(), 99, s.to())).isFalse();
+    }
+}
--- /dev/null
+++ b/capture/src/test/java/quincespar/capture/ScenesTest.java
@@ -0,0 +1,138 @@
+package quincespar.capture;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import quincespar.decision.Gateway;
+import quincespar.decision.Gateway.EngineState;
+import quincespar.decision.Gateway.Outcome;
+
+/**
+ * Past failures, captured: the module as it is decides as it did then. Where a change to the module is meant to change
+ * that, {@link #main} writes them anew, and the commit says why.
+ */
+@Timeout(60)
+class ScenesTest {
+    private static String file(World.Scene s) {
+        return s.name().toLowerCase(Locale.ROOT).replace('_', '-') + ".qcap";
+    }
+
+    /** Writes all scenes as this build's module plays them, to the folder that is named. */
+    public static void main(String[] args) throws IOException {
+        for (World.Scene s : World.Scene.values()) {
+            Files.write(Path.of(args[0]).resolve(file(s)), new World(0).file(World.scene(s)));
+        }
+    }
+
+    private static List<Entry> captured(World.Scene s) throws IOException {
+        try (InputStream in = ScenesTest.class.getResourceAsStream("/captures/" + file(s))) {
+            EntryCodec codec = new EntryCodec();
+            Frames.Reader frames = new Frames.Reader(in, codec.schema());
+            List<Entry> out = new ArrayList<>();
+            for (byte[] r = frames.next(); r != null; r = frames.next()) {
+                out.add(codec.read(r));
+            }
+            assertThat(frames.damage()).isNull();
+            return out;
+        }
+    }
+
+    @ParameterizedTest
+    @EnumSource(World.Scene.class)
+    void theModuleDecidesAsItDidAndKeepsTheRules(World.Scene s) throws IOException {
+        Replay replay = new Replay(new BrainModules());
+        RuleCheck rules = new RuleCheck();
+        for (Entry e : captured(s)) {
+            rules.take(e);
+            assertThat(replay.play(e)).as("%s: the module decides otherwise now, at %s; if that is meant, write the captures"
+                    + " anew with ScenesTest.main and say why in the commit", s, replay.result().parting()).isTrue();
+        }
+        assertThat(replay.result().calls()).isGreaterThan(World.Scene.REQUESTS);
+        assertThat(rules.breaches()).isEmpty();
+        // and what the module does now in that scene, whatever was captured
+        RuleCheck now = new RuleCheck();
+        World.scene(s).forEach(now::take);
+        assertThat(now.breaches()).isEmpty();
+    }
+
+    /** Each scene has in it what its name says: else it would guard nothing. */
+    @Test
+    void theScenesHaveTheirTroubleInThem() throws IOException {
+        assertThat(sends(World.Scene.LIST_COMES_LATE, 0, 79)).isZero();
+        assertThat(sends(World.Scene.LIST_COMES_LATE, 80, 240)).isPositive();
+        for (World.Scene s : List.of(World.Scene.DIES_AND_RETURNS_COLD, World.Scene.HANGS, World.Scene.DRAINS_UNDER_LOADS)) {
+            assertThat(sendsTo2(s, 0, 80)).as("%s", s).isPositive();
+            assertThat(sendsTo2(s, 120, 160)).as("%s", s).isLessThan(sendsTo2(s, 0, 80) / 4 + 1);
+        }
+    }
+
+    private static long sends(World.Scene s, long from, long to) throws IOException {
+        return sends(s, from, to, false);
+    }
+
+    private static long sendsTo2(World.Scene s, long from, long to) throws IOException {
+        return sends(s, from, to, true);
+    }
+
+    /** Sends between the takings of two requests. */
+    private static long sends(World.Scene s, long from, long to, boolean toSecond) throws IOException {
+        long taken = 0;
+        long out = 0;
+        for (Entry e : captured(s)) {
+            if (e instanceof Entry.Call c) {
+                taken += c.events().stream().filter(Gateway.Request.class::isInstance).count();
+                long at = taken;
+                out += c.actions().stream().filter(a -> a instanceof Gateway.Send x && at > from && at <= to
+                        && (!toSecond || x.engine() == 2)).count();
+            }
+        }
+        return out;
+    }
+
+    private static Entry.Call call(double time, List<Gateway.Event> events, Gateway.Action... actions) {
+        return new Entry.Call(time, events, List.of(actions));
+    }
+
+    /** Calls in which each rule is broken once, after calls in which it is kept. */
+    @Test
+    void eachBrokenRuleIsNamed() {
+        RuleCheck r = new RuleCheck();
+        r.take(World.opening(1));
+        Gateway.Engine drains = new Gateway.Engine(2, 0, 0, 0, EngineState.DRAINING, 1, 0);
+        r.take(call(0, List.of(new Gateway.Listed(Gateway.ListKind.CACHED, 1, List.of(drains)))));
+        Gateway.Event load = new Gateway.Request(1, 2, -1, 8000, 9, 1, 1, 0, false, true);
+        r.take(call(100, List.of(load), new Gateway.Send(1, 2, 0))); // within the grace
+        r.take(call(200, List.of(ended(1, 0, Outcome.FULL)), new Gateway.Send(1, 1, 0))); // it never ran
+        r.take(call(300, List.of(ended(1, 1, Outcome.ERROR))));
+        assertThat(r.count()).isZero();
+        r.take(call(400, List.of(), new Gateway.Send(1, 1, 0)));
+        r.take(call(500, List.of(ended(1, 2, Outcome.ERROR)), new Gateway.Refuse(1, 0)));
+        r.take(call(600, List.of(), new Gateway.Fail(1)));
+        r.take(call(700, List.of(), new Gateway.Send(1, 1, 0)));
+        Gateway.Event lookup = new Gateway.Request(2, 0, -1, 1300, 9, 1, 1, 0, false, false);
+        r.take(call(2000, List.of(lookup), new Gateway.Send(2, 1, 0), new Gateway.Send(2, 1, 0)));
+        r.take(call(2100, List.of(ended(2, 0, Outcome.ERROR), ended(2, 1, Outcome.ERROR)), new Gateway.Send(2, 2, 0)));
+        assertThat(r.breaches()).containsExactly(
+                "0.400 request 1 is sent again though it may have run, and may not run twice",
+                "0.500 request 1 is refused after it may have run", "0.600 request 1 has two final answers",
+                "0.700 request 1 is sent after its end", "2.000 request 2 has two attempts out",
+                "2.100 request 2 is sent to engine 2, which takes nothing new");
+        r.take(new Entry.Gap(2200, 5, "the ring was full"));
+        r.take(call(2300, List.of(), new Gateway.Send(2, 2, 0))); // nothing is known of it any more
+        assertThat(r.count()).isEqualTo(6);
+    }
+
+    private static Gateway.Event ended(long id, int attempt, Outcome how) {
+        return new Gateway.Ended(id, attempt, 1, how, 5, false, Double.NaN, Double.NaN, List.of());
+    }
+}
--- a/capture/src/test/java/quincespar/capture/World.java
+++ b/capture/src/test/java/quincespar/capture/World.java
@@ -29,6 +29,7 @@
             rules.drainGrace = 1000
             rules.cold = 10000
             rules.coldShare = 0.3
+            rules.fall = 1000
             requestClasses.count = 3
             requestClasses.0.name = lookup
             requestClasses.0.slo = 300
@@ -48,6 +49,16 @@
             """;
     private static final int ENGINES = 6;
 
+    /** What happens besides: by chance, or one trouble at its time, counted in requests. */
+    enum Scene {
+        CHANCE, DIES_AND_RETURNS_COLD, HANGS, SLOWS_DOWN, DRAINS_UNDER_LOADS, CLOCK_STEPS, LIST_COMES_LATE;
+
+        /** The requests that a scene takes. */
+        static final int REQUESTS = 240;
+        private static final int BEGINS = 80;
+        private static final int ENDS = 160;
+    }
+
     private record Due(double at, long order, Gateway.Event event) { }
 
     private record Out(long id, int attempt, long engine) { }
@@ -63,7 +74,9 @@
     private double now = 1000;
     private long order;
     private long id;
+    private Scene scene = Scene.CHANCE;
     private long hung = -1;
+    private long slow = 3;
     private long calls;
 
     World(long seed) {
@@ -78,6 +91,14 @@
         module = new CapturedGateway(new Brain(settings(), seed), to, new StateCodec(Brain.class)::write);
     }
 
+    /** A scene that is the same each time. */
+    static List<Entry> scene(Scene s) {
+        World w = new World(100 + s.ordinal());
+        w.scene = s;
+        w.slow = -1;
+        return w.play(Scene.REQUESTS);
+    }
+
     static Entry.Opening opening(long seed) {
         return new Entry.Opening("w" + seed, 1000, seed, "test", ModuleText.digest(Brain.class), settings());
     }
@@ -91,7 +112,9 @@
         for (long e = 1; e <= ENGINES; e++) {
             engines.put(e, new Gateway.Engine(e, 0, 0, (int) e % 2, EngineState.READY, 1, 0));
         }
-        tell(new Gateway.Listed(Gateway.ListKind.CACHED, 1, List.copyOf(engines.values())));
+        if (scene != Scene.LIST_COMES_LATE) {
+            tell(new Gateway.Listed(Gateway.ListKind.CACHED, 1, List.copyOf(engines.values())));
+        }
         while (id < requests || !due.isEmpty()) {
             if (id < requests && (due.isEmpty() || random.nextInt(3) == 0)) {
                 now += random.nextDouble() * 6;
@@ -127,7 +150,31 @@
         return calls;
     }
 
+    private void staged() {
+        boolean begins = id == Scene.BEGINS;
+        boolean ends = id == Scene.ENDS;
+        Gateway.Engine second = engines.get(2L);
+        if (begins && scene == Scene.LIST_COMES_LATE) {
+            tell(new Gateway.Listed(Gateway.ListKind.FULL, 1, List.copyOf(engines.values())));
+        } else if (scene == Scene.DIES_AND_RETURNS_COLD && (begins || ends)) {
+            hung = begins ? 2 : -1;
+            list(new Gateway.Engine(2, 0, 0, second.cell(), begins ? EngineState.GONE : EngineState.READY, 1, begins ? 0 : now));
+        } else if (scene == Scene.HANGS && (begins || ends)) {
+            hung = begins ? 2 : -1;
+        } else if (scene == Scene.SLOWS_DOWN && (begins || ends)) {
+            slow = begins ? 2 : -1;
+        } else if (scene == Scene.DRAINS_UNDER_LOADS && (begins || ends)) {
+            list(new Gateway.Engine(2, 0, 0, second.cell(), begins ? EngineState.DRAINING : EngineState.GONE, 1, 0));
+        } else if (scene == Scene.CLOCK_STEPS && begins) {
+            now += 30_000;
+        }
+    }
+
     private void trouble() {
+        if (scene != Scene.CHANCE) {
+            staged();
+            return;
+        }
         long e = 1 + random.nextInt(ENGINES);
         Gateway.Engine old = engines.get(e);
         switch (random.nextInt(400)) {
@@ -161,7 +208,7 @@
     }
 
     private void sent(Out o) {
-        double took = 10 + random.nextDouble() * 90 * (o.engine() == 3 ? 8 : 1);
+        double took = 10 + random.nextDouble() * 90 * (o.engine() == slow ? 8 : 1);
         if (random.nextInt(12) == 0) {
             later(2, new Gateway.Note(o.id(), o.attempt(), o.engine(), Gateway.NoteKind.WAIT, 2));
             took += 400;
--- a/decision/src/main/java/quincespar/decision/Brain.java
+++ b/decision/src/main/java/quincespar/decision/Brain.java
@@ -61,12 +61,12 @@
     /** An engine's report fades within two seconds: short queries have gone by then. */
     private static final double FADE = 2000;
 
-    private final Chance random;
-    private Settings set;
-    private Kind[] kinds = {};
-    private Type[] types = {};
-    private final Map<Long, Query> queries = new LinkedHashMap<>();
-    private final Map<Long, Node> nodes = new LinkedHashMap<>();
+    final Chance random;
+    Settings set;
+    Kind[] kinds = {};
+    Type[] types = {};
+    final Map<Long, Query> queries = new LinkedHashMap<>();
+    final Map<Long, Node> nodes = new LinkedHashMap<>();
     private final Map<Long, KeyLine> lines = new LinkedHashMap<>();
     private final ArrayDeque<Double> furtherAt = new ArrayDeque<>(), takenAt = new ArrayDeque<>();
     private final Map<Integer, Node> tagged = new LinkedHashMap<>();
@@ -75,13 +75,13 @@
     private final Mean usualLoad = new Mean(MEMORY / 4);
     private final Mean offered = new Mean(3 * MEMORY), told = new Mean(3 * MEMORY);
     private final Mean untold = new Mean(MEMORY / 2);
-    private Bound pool;
-    private List<Action> out;
-    private double reach, now, watchAt, watchWait, tidyAt, timerAt, wordsAt, fleet, warm, startedAt = -1;
-    private double beat, leader, loadTime, lightest, heaviest;
+    Bound pool;
+    List<Action> out;
+    double reach, now, watchAt, watchWait, tidyAt, timerAt, wordsAt, fleet, warm, startedAt = -1;
+    double beat, leader, loadTime, lightest, heaviest;
     private long sequence;
     private int open, said;
-    private boolean watching, allPooled, stalled, grouped, spoken;
+    boolean watching, allPooled, stalled, grouped, spoken;
 
     /** Starts one router's module; the seed feeds its only source of chance. */
     public Brain(Settings settings, long seed) {
@@ -151,7 +151,7 @@
         return allPooled ? 2 * beat : beat;
     }
 
-    private void take(Event e) {
+    void take(Event e) {
         if (e instanceof Request r) {
             intake(r);
         } else if (e instanceof Ended x) {
@@ -247,14 +247,14 @@
     // ---- index and rates ---------------------------------------------------------------------------------
 
     /** Expected time of this query on an engine of usual pace: learned time for each unit of its estimate. */
-    private double expected(Query q) {
+    double expected(Query q) {
         Kind k = kinds[q.cls * 2 + q.band];
         double ratio = k.ratio.weight > 1 ? k.ratio.value(1) : kinds[q.cls * 2].ratio.value(1.3);
         return Math.max(1, ratio * q.estimate / q.spec.threads());
     }
 
     /** The learned rate μ of a kind on an engine: one over its mean time there, leaning on its class. */
-    private double rate(Kind k, Node n) {
+    double rate(Kind k, Node n) {
         Mean m = n.times[k.index];
         double absent = k.band == 0 ? k.spec.aim() : HEAVY * kinds[k.index - 1].times.value(k.spec.aim());
         double own = k.times.value(absent);
@@ -276,14 +276,14 @@
      * γ·D·μ for each thread. A late query's cost has stopped growing, so its age counts up to the aim only:
      * else a backlog of late ones goes before all that could still be in time, and makes them late too.
      */
-    private double index(Type t, Query q, Node n) {
+    double index(Type t, Query q, Node n) {
         double age = t.hope == 2 ? Math.min(now - q.born, q.spec.aim() / 2) : now - q.born;
         return worth(t, q, n) / q.spec.aim() * (age + beat) * rate(t.kind, n) / q.spec.threads();
     }
 
     // ---- thread bound ------------------------------------------------------------------------------------
 
-    private double cores(Engine e) {
+    double cores(Engine e) {
         List<Double> told = set.fleet().cores();
         double c = e.kind() < told.size() ? told.get(e.kind()) : 0;
         return c > 0 ? c : 4;
@@ -311,7 +311,7 @@
      * shunned engine gets one query at a time; what hangs there since before may never end and must not keep
      * it shunned. What may not run twice is tried later: it would be lost.
      */
-    private boolean room(Node n, Kind k) {
+    boolean room(Node n, Kind k) {
         if (!n.shunned()) {
             boolean full = told(n) > FULL && !n.outstanding.isEmpty();
             return n.bound == pool && roomy(n) || !full && room(n.bound, k);
@@ -324,7 +324,7 @@
      * Under a broad pool what is stuck at full engines must not keep idle ones idle, nor go on filling them:
      * a fresh report tells whether there is room, and at a cold engine the cold guard is the bound.
      */
-    private boolean roomy(Node n) {
+    boolean roomy(Node n) {
         return pool.threads < 2 * pool.width && (cold(n) && broad(n) || told(n) < ROOMY);
     }
 
@@ -343,7 +343,7 @@
      * less, else what is shortest and dearest would wait for what can't be stopped. Under an engine's own
      * bound that holds for the class of the largest γμ alone: it is the smaller part of the work.
      */
-    private boolean room(Bound b, Kind k) {
+    boolean room(Bound b, Kind k) {
         double taken = b.threads, spare = b == pool && spoken ? BORROW * (b.width - fleet) : 0;
         boolean leads = leads(kinds[k.cls * 2]);
         double lower = b == pool && b.width < BROAD ? LOWER : leads ? LOWER_OWN : 1;
@@ -393,7 +393,7 @@
         b.width = Math.max(Math.max(1, all / set.routers()), Math.min(b.width, 4 * all));
     }
 
-    private boolean cold(Node n) {
+    boolean cold(Node n) {
         return n.engine.startedAt() > 0 && now - n.engine.startedAt() <= set.rules().cold();
     }
 
@@ -429,7 +429,7 @@
     // ---- engine choice -----------------------------------------------------------------------------------
 
     /** What a look takes from all classes: asked for each engine and type it would be worked out anew. */
-    private void survey() {
+    void survey() {
         leader = loadTime = 0;
         lightest = Double.MAX_VALUE;
         heaviest = 1;
@@ -517,7 +517,7 @@
     }
 
     /** The oldest query of a type that may go here; only rules and held tables make it look past the head. */
-    private Query first(Type t, Node n) {
+    Query first(Type t, Node n) {
         for (Query q : t.queue) {
             if (legal(q, n) && !wouldStandStill(q, n)) {
                 return q;
@@ -530,12 +530,12 @@
      * Where a load is known to hold its tables a query waits here, not there: sent at once it would use up
      * its attempts within milliseconds, on engines just heard to be held. Late for its aim it may go.
      */
-    private boolean wouldStandStill(Query q, Node n) {
+    boolean wouldStandStill(Query q, Node n) {
         return q.spec.waitsForLoads() && !q.spec.loads() && now < latestStart(q, 1) && held(q, n);
     }
 
     /** Among engines of like index: own zone, more free room, its tables' engines, not where it failed. */
-    private double fit(Query q, Node n) {
+    double fit(Query q, Node n) {
         double full = n.bound == pool ? cores(n.engine) / 2 : Math.max(n.bound.width, 1);
         double f = (1 - 0.5 * Math.min(1, n.threads / full)) * (1 + 0.01 * random.nextDouble());
         f *= n.engine.zone() == set.zone() ? 1 : 1 - Math.min(0.5, 2 * set.crossZonePrice());
@@ -580,7 +580,7 @@
 
     // ---- attempts and health -----------------------------------------------------------------------------
 
-    private void send(Query q, Node n) {
+    void send(Query q, Node n) {
         terms(q);
         q.type.queue.remove(q);
         q.type = null;
@@ -781,7 +781,7 @@
     }
 
     /** Looks at what is out: silent engines, and attempts far beyond what their query should take. */
-    private void supervise() {
+    void supervise() {
         if (now >= wordsAt) {
             wordsAt = now + 1000;
             words.expire(now);
@@ -950,20 +950,20 @@
     // ---- rule guards -------------------------------------------------------------------------------------
 
     /** The one place that says whether this query may be sent to this engine now. Every send passes here. */
-    private boolean legal(Query q, Node n) {
+    boolean legal(Query q, Node n) {
         return !q.over && !q.streaming && n.engine.state() == EngineState.READY && now < q.deadline
                 && q.sends < q.most && placed(q, n) && repeatable(q, n)
                 && (q.running() == 0 || set.limits().secondCopies()) && inTurn(q)
                 && (q.sends == 0 || budget(0)) && coldRoom(kinds[q.cls * 2], n);
     }
 
-    private boolean placed(Query q, Node n) {
+    boolean placed(Query q, Node n) {
         return (q.spec.zones() == null || q.spec.zones().contains(n.engine.zone()))
                 && (q.spec.kinds() == null || q.spec.kinds().contains(n.engine.kind()));
     }
 
     /** Unsafe: only after proof that nothing ran. Keyed: within group and time of what may have run. */
-    private boolean repeatable(Query q, Node n) {
+    boolean repeatable(Query q, Node n) {
         return q.spec.effect() == Effect.SAFE || q.attempts.stream().noneMatch(a -> a.mayHaveRun()
                 && (q.spec.effect() == Effect.UNSAFE || now - a.at > q.spec.repeatWindow() - beat
                 || n != null && !sameGroup(q.spec, a.engine, n.engine)));
@@ -975,12 +975,12 @@
     }
 
     /** Order: first of its key's line, or the line's rest after a doubtful end is over. */
-    private boolean inTurn(Query q) {
+    boolean inTurn(Query q) {
         return q.line == null || q.line.waiting.get(0) == q && (now >= q.line.restUntil || q.line.doubt == q);
     }
 
     /** Budget on further attempts in the window that ends now, beside those promised already. */
-    private boolean budget(long promised) {
+    boolean budget(long promised) {
         Rules r = set.rules();
         if (Double.isNaN(r.budgetSpan())) {
             return true;
@@ -997,7 +997,7 @@
      * is below the lightest, hosts would see too few queries: routers take turns, by number and by the
      * engine's start, a few each span. A span touches two turns, so each has half of it.
      */
-    private boolean coldRoom(Kind k, Node n) {
+    boolean coldRoom(Kind k, Node n) {
         Rules r = set.rules();
         double since = now - n.engine.startedAt();
         if (!cold(n) || r.fall() <= 0) {
@@ -1016,14 +1016,14 @@
     }
 
     /** The usual work of a class as the cold guard counts it: told, else estimated, else the time it held. */
-    private double usualWork(Kind k) {
+    double usualWork(Kind k) {
         return Math.max(k.work.value(0), k.usual.value(k.times.value(k.spec.aim()) * k.spec.threads()));
     }
 
     // ---- answers -----------------------------------------------------------------------------------------
 
     /** Gives up held queries that can earn nothing any more, and moves late ones among the late. */
-    private void expire() {
+    void expire() {
         lines.values().removeIf(l -> l.waiting.isEmpty() && now >= l.restUntil);
         for (Type t : types) {
             for (Query q : new ArrayList<>(t.queue)) {
--- a/frontend/src/main/java/quincespar/program/CaptureCommands.java
+++ b/frontend/src/main/java/quincespar/program/CaptureCommands.java
@@ -20,13 +20,16 @@
 import quincespar.capture.Captures.Segment;
 import quincespar.capture.Entry;
 import quincespar.capture.EntryCodec;
+import quincespar.capture.Explain;
 import quincespar.capture.Frames;
 import quincespar.capture.ModuleText;
 import quincespar.capture.Replay;
+import quincespar.capture.RuleCheck;
 import quincespar.capture.SegmentName;
 import quincespar.capture.Store;
 import quincespar.decision.Brain;
 import quincespar.decision.Gateway;
+import quincespar.routing.EngineNumber;
 
 /** What can be asked of captures; every answer is lines that scripts can read. */
 @Command(name = "capture", description = "Look at captures: all that the module was told and decided.",
@@ -117,6 +120,24 @@
         return 0;
     }
 
+    /** Tells the story of a request, or what was known of an engine; answers the exit code. */
+    static int explain(Path folder, Long request, String engine, Double at) throws IOException {
+        Captures captures = new Captures(new CaptureFolder(folder));
+        Explain explain = new Explain(captures, System.out::println);
+        boolean told = request != null ? explain.request(captures.names(), request)
+                : explain.engine(captures.names(), number(engine), at == null ? Double.MAX_VALUE : at * SECOND);
+        if (!told) {
+            throw new IOException("no segment in " + folder + " tells of " + (request != null ? "request " + request
+                    : "engine " + engine));
+        }
+        return 0;
+    }
+
+    /** An engine by its id in the list, or by the number that a story gives it. */
+    private static long number(String engine) {
+        return engine.matches("[0-9]{1,18}") ? Long.parseLong(engine) : EngineNumber.of(engine);
+    }
+
     /** Plays captures again on this build's module; answers the exit code. */
     static int replay(Path folder, int from, Path decisions) throws IOException {
         Captures captures = new Captures(new CaptureFolder(folder));
@@ -125,6 +146,7 @@
             throw new IOException("no segments in " + folder + (from > 1 ? " from number " + from + " on" : ""));
         }
         Replay replay = new Replay(new BrainModules());
+        RuleCheck rules = new RuleCheck();
         double[] span = {Double.NaN, Double.NaN};
         long began = System.nanoTime();
         try (PrintStream out = decisions == null ? null : new PrintStream(Files.newOutputStream(decisions), false,
@@ -137,6 +159,7 @@
                         out.println(c.time() + " " + c.actions());
                     }
                 }
+                rules.take(e);
                 return replay.play(e);
             });
             if (out != null && out.checkError()) {
@@ -152,10 +175,12 @@
         System.out.printf(Locale.ROOT, "states=%d other-states=%d lost=%d%n", r.states(), r.otherStates(), r.lost());
         System.out.printf(Locale.ROOT, "played %.1f s in %.2f s, %.0f times as fast%n", (span[1] - span[0]) / SECOND,
                 took / SECOND, (span[1] - span[0]) / took);
+        System.out.println("broken-rules=" + rules.count());
+        rules.breaches().forEach(b -> System.out.println("  " + b));
         if (r.parting() != null) {
             parted(r.parting());
         }
-        return r.parting() == null && r.otherStates() == 0 ? 0 : 1;
+        return r.parting() == null && r.otherStates() == 0 && rules.count() == 0 ? 0 : 1;
     }
 
     private static void parted(Replay.Parting p) {
--- a/frontend/src/main/java/quincespar/program/Main.java
+++ b/frontend/src/main/java/quincespar/program/Main.java
@@ -154,6 +154,21 @@
         return CaptureCommands.replay(folder, from, decisions);
     }
 
+    @Command(name = "explain", description = "Tell from captures what became of a request and why, or what was known of an"
+            + " engine.")
+    int explain(@CommandLine.Parameters(paramLabel = "DIR") Path folder,
+            @CommandLine.Option(names = "--request", paramLabel = "N", description = "The module's number of a request.")
+            Long request,
+            @CommandLine.Option(names = "--engine", paramLabel = "ID", description = "An engine's id in the list, or"
+            + " its number in a story.") String engine,
+            @CommandLine.Option(names = "--at", paramLabel = "S", description = "When, in seconds since 1970; the end"
+            + " unless told.") Double at) throws IOException {
+        if ((request == null) == (engine == null)) {
+            throw new CommandLine.ParameterException(spec.commandLine(), "explain takes --request or --engine");
+        }
+        return CaptureCommands.explain(folder, request, engine, at);
+    }
+
     @Command(name = "rehearse", description = "Start and end once on loopback, for the build to archive what a start"
             + " loads.")
     int rehearse() throws IOException, InterruptedException {
--- a/frontend/src/main/java/quincespar/routing/Fleet.java
+++ b/frontend/src/main/java/quincespar/routing/Fleet.java
@@ -92,13 +92,8 @@
         return e;
     }
 
-    /** Ids are text and the module's are numbers: hashed, so that all front ends agree on them. */
     private long number(String id) {
-        long h = 0xcbf29ce484222325L;
-        for (int i = 0; i < id.length(); i++) {
-            h = (h ^ id.charAt(i)) * 0x100000001b3L;
-        }
-        h = (h ^ h >>> 48) & 0xffffffffffffL;
+        long h = EngineNumber.of(id);
         while (engines.containsKey(h) && !engines.get(h).listed.id().equals(id)) {
             h++;
         }
--- a/frontend/src/test/java/quincespar/program/CaptureStoryTest.java
+++ b/frontend/src/test/java/quincespar/program/CaptureStoryTest.java
@@ -16,7 +16,9 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import quincespar.capture.Captures;
+import quincespar.capture.Entry;
 import quincespar.capture.SegmentName;
+import quincespar.decision.Gateway;
 import quincespar.settings.ConfReader;
 import quincespar.settings.Settings;
 
@@ -97,6 +99,21 @@
         return counters;
     }
 
+    /** The module's numbers are the front end's: the first that was sent is looked up. */
+    private long firstRequest(Said replay) throws IOException {
+        long[] id = {0};
+        Captures all = new Captures(new CaptureFolder(captures));
+        all.entries(all.names(), (name, e) -> {
+            if (e instanceof Entry.Call c) {
+                c.actions().stream().filter(Gateway.Send.class::isInstance).findFirst()
+                        .ifPresent(a -> id[0] = ((Gateway.Send) a).id());
+            }
+            return id[0] == 0;
+        });
+        assertThat(id[0]).as(replay.out()).isPositive();
+        return id[0];
+    }
+
     @Test
     void whatTheProgramDecidedIsDecidedAgain() throws Exception {
         Map<String, String> counters = live(24);
@@ -104,6 +121,13 @@
         Said replay = command("replay", captures);
         assertThat(replay.code()).as(replay.out()).isZero();
         assertThat(replay.out()).contains(" lost=0", "other-states=0").containsPattern("decisions=[1-9]");
+        assertThat(replay.out()).contains("broken-rules=0");
+        Said explain = command("explain", captures, "--request", firstRequest(replay));
+        assertThat(explain.code()).as(explain.out()).isZero();
+        assertThat(explain.out()).contains("is taken: class ", "goes to engine ", "* engine ", "ended after ");
+        assertThat(command("explain", captures, "--engine", "s-1").out()).contains(" for lookup: takes work");
+        assertThat(command("explain", captures).code()).isEqualTo(2);
+        assertThat(command("explain", captures, "--request", 999_999).code()).isEqualTo(1);
         Path decisions = folder.resolve("decisions");
         assertThat(command("replay", captures, "--decisions", decisions).out().lines().findFirst())
                 .isEqualTo(replay.out().lines().findFirst());
