Tell the old process that the new one serves before the new one says yes

FrontEnd.start entered SERVING, from which the second address says yes, and took the lock that tells others after that: SIGTERM at the yes could come between, above all on busy cores. Change: Lifecycle.serve tells others, then says yes, and takes it back where it was told to stop meanwhile. Test: LifecycleTest fails with the order turned round.

--- a/frontend/src/main/java/quincespar/program/FrontEnd.java
+++ b/frontend/src/main/java/quincespar/program/FrontEnd.java
@@ -147,9 +147,7 @@
         }
         front.start();
         clientLoop.start();
-        if (lifecycle.enter(Phase.SERVING)) {
-            siblings.serves();
-        }
+        lifecycle.serve(siblings::serves, siblings::leaves);
         log.info("{}: serving on {}", configuration.name(), configuration.listen());
     }
 
--- a/frontend/src/main/java/quincespar/program/Lifecycle.java
+++ b/frontend/src/main/java/quincespar/program/Lifecycle.java
@@ -47,6 +47,20 @@
         return true;
     }
 
+    /**
+     * Serves from now on; false where it was told to stop meanwhile. Other processes are told first and the yes is said
+     * then: whoever hears the yes may send the old process its word to stop at once, and that one must find that this one
+     * serves, or it would not move its clients. No lock is held while they are told.
+     */
+    boolean serve(Runnable tellOthers, Runnable takeBack) {
+        tellOthers.run();
+        if (enter(Phase.SERVING)) {
+            return true;
+        }
+        takeBack.run();
+        return false;
+    }
+
     /**
      * Word to stop: before it serves, nothing has been taken and it ends at once; {@code beside} another process that
      * serves here it yields to that, else it leaves. True for the first such word.
--- a/frontend/src/test/java/quincespar/program/LifecycleTest.java
+++ b/frontend/src/test/java/quincespar/program/LifecycleTest.java
@@ -59,6 +59,21 @@
         }
     }
 
+    /** The old process is told to stop at the yes: by then it must be able to see that another one serves. */
+    @Test
+    void othersAreToldBeforeTheYesIsSaid() {
+        Lifecycle l = new Lifecycle();
+        l.listed(true);
+        List<String> order = new ArrayList<>();
+        assertThat(l.serve(() -> order.add("told, ready " + l.ready()), () -> order.add("taken back"))).isTrue();
+        assertThat(order).containsExactly("told, ready false");
+        assertThat(l.ready()).isTrue();
+        Lifecycle stopped = new Lifecycle();
+        assertThat(stopped.serve(() -> stopped.leave(false), () -> order.add("taken back"))).isFalse();
+        assertThat(order).containsExactly("told, ready false", "taken back");
+        assertThat(stopped.ready()).isFalse();
+    }
+
     @Test
     void aWordToStopBeforeItServesEndsItAtOnceAndOnlyTheFirstWordCounts() {
         Lifecycle l = new Lifecycle();
