--- a/capture/src/main/java/quincespar/capture/Explain.java
+++ b/capture/src/main/java/quincespar/capture/Explain.java
@@ -17,6 +17,9 @@
     private final Captures captures;
     private final BrainModules modules = new BrainModules();
     private final Consumer<String> to;
+    private Gateway.Settings settings;
+    private Gateway.Request taken;
+    private double takenAt;
     private int told;
 
     /** Tells {@code to} line by line. */
@@ -33,13 +36,19 @@
                     ? new Insight(copy(b)) : null;
             boolean more = replay.play(e);
             if (e instanceof Entry.Call c) {
-                c.events().stream().filter(x -> concerns(x, id)).forEach(x -> say(c.time(), event(x)));
+                c.events().stream().filter(x -> concerns(x, id)).forEach(x -> {
+                    taken = x instanceof Gateway.Request r ? r : taken;
+                    takenAt = x instanceof Gateway.Request ? c.time() : takenAt;
+                    say(c.time(), event(x));
+                });
                 if (before != null) {
                     before.choices(c.time(), c.events(), c.actions()).stream().filter(x -> x.request() == id)
                             .forEach(x -> choice(c.time(), x));
                 }
                 c.actions().stream().filter(a -> concerns(a, id) && (before == null || !(a instanceof Gateway.Send)))
-                        .forEach(a -> say(c.time(), action(a)));
+                        .forEach(a -> say(c.time(), action(a) + standing(a, c.time())));
+            } else if (e instanceof Entry.Opening o && settings == null) {
+                settings = o.settings();
             }
             return more;
         });
@@ -96,9 +105,6 @@
         out.append(v.pooled() ? ", bound shared by all " : ", bound ").append(String.format(Locale.ROOT, "%.1f", v.width()));
         out.append(Double.isNaN(v.reportAge()) ? "; no report" : String.format(Locale.ROOT,
                 "; report of %.2f a core, %.0f ms old", v.report(), v.reportAge()));
-        if (!Double.isNaN(v.retryIn())) {
-            out.append(String.format(Locale.ROOT, "; shunned, tried again in %.0f ms", v.retryIn()));
-        }
         if (!Double.isNaN(v.coldLeft())) {
             out.append(String.format(Locale.ROOT, "; cold, %.0f ms of work left", v.coldLeft()));
         }
@@ -130,6 +136,14 @@
         return e instanceof Gateway.Left ? "the client has left" : "its answer has started";
     }
 
+    /** With a final answer that serves nothing: how the request stood with its time. */
+    private String standing(Action a, double now) {
+        boolean ends = a instanceof Gateway.Refuse || a instanceof Gateway.Fail;
+        return !ends || taken == null || settings == null || taken.cls() >= settings.classes().size() ? ""
+                : String.format(Locale.ROOT, "; %.0f ms old, its aim was %.0f ms, and %.0f ms were left", now - takenAt,
+                settings.classes().get(taken.cls()).aim(), taken.patience() - (now - takenAt));
+    }
+
     private static String action(Action a) {
         if (a instanceof Gateway.Cancel c) {
             return "attempt " + c.attempt() + " is given up: " + c.why().name().toLowerCase(Locale.ROOT);
--- a/capture/src/test/java/quincespar/capture/ExplainTest.java
+++ b/capture/src/test/java/quincespar/capture/ExplainTest.java
@@ -81,7 +81,7 @@
                 assertThat(lines.get(0)).contains("request " + id + " is taken");
                 String all = String.join("\n", lines);
                 for (String word : List.of("* engine", "chosen", "a lower figure", "ended after", "it drains", "shunned",
-                        "is given up", "says of attempt", "turned away")) {
+                        "is given up", "says of attempt", "turned away", "its aim was")) {
                     if (all.contains(word)) {
                         seen.add(word);
                     }
@@ -89,7 +89,8 @@
             }
         }
         assertThat(stories).isEqualTo(58);
-        assertThat(seen).contains("* engine", "chosen", "a lower figure", "ended after", "shunned", "says of attempt");
+        assertThat(seen).contains("* engine", "chosen", "a lower figure", "ended after", "shunned", "says of attempt", "is given up",
+                "turned away", "its aim was");
         assertThat(new Explain(captures, l -> { }).request(captures.names(), 99_999)).isFalse();
     }
 
