--- a/capture/src/main/java/quincespar/capture/SegmentName.java
+++ b/capture/src/main/java/quincespar/capture/SegmentName.java
@@ -15,6 +15,11 @@
     private static final Comparator<SegmentName> ORDER = Comparator.comparing(SegmentName::of)
             .thenComparingLong(SegmentName::start).thenComparingInt(SegmentName::serial);
 
+    /** What would lead out of a folder is replaced in {@code of}. */
+    public SegmentName {
+        of = of.replaceAll("[^A-Za-z0-9_.-]", "_");
+    }
+
     /** Reads a file's name; nothing where it is no segment's. */
     public static Optional<SegmentName> read(String file) {
         Matcher m = FORM.matcher(file);
@@ -22,9 +27,9 @@
                 Integer.parseInt(m.group(3)))) : Optional.empty();
     }
 
-    /** The file's name. What would lead out of a folder is replaced. */
+    /** The file's name. */
     public String file() {
-        return String.format(Locale.ROOT, "%s-%013d-%06d.qcap", of.replaceAll("[^A-Za-z0-9_.-]", "_"), start, serial);
+        return String.format(Locale.ROOT, "%s-%013d-%06d.qcap", of, start, serial);
     }
 
     SegmentName next() {
--- a/capture/src/main/java/quincespar/capture/StateCodec.java
+++ b/capture/src/main/java/quincespar/capture/StateCodec.java
@@ -1,11 +1,8 @@
 package quincespar.capture;
 
 import java.io.ByteArrayInputStream;
-import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
-import java.io.DataOutputStream;
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.lang.reflect.Array;
 import java.lang.reflect.Constructor;
 import java.lang.reflect.Field;
@@ -147,8 +144,6 @@
     public byte[] write(Object module) {
         try {
             return new Writer().write(module);
-        } catch (IOException e) { // nothing is written anywhere but to memory
-            throw new UncheckedIOException(e);
         } catch (IllegalAccessException e) {
             throw new IllegalStateException(e);
         }
@@ -170,47 +165,137 @@
         }
     }
 
-    private static void writeCount(DataOutputStream out, int n) throws IOException {
-        int rest = n;
-        while (rest > 127) {
-            out.writeByte(rest & 127 | 128);
-            rest >>>= 7;
+    /**
+     * Bytes that grow. Values are kept in it once: what was written last and stands there already is taken back. Found by
+     * their bytes, as records would each be hashed over all that they hold.
+     */
+    private static final class Bytes {
+        private static final int FIRST = 1 << 12;
+        private byte[] bytes = new byte[FIRST];
+        private int size;
+        /** Of the values, by place in an open table: where each begins, its length, its hash, and its number plus one. */
+        private int[] table = new int[FIRST];
+        private int values;
+
+        private void room(int more) {
+            if (size + more > bytes.length) {
+                bytes = Arrays.copyOf(bytes, Math.max(2 * bytes.length, size + more));
+            }
+        }
+
+        void put(int b) {
+            room(1);
+            bytes[size++] = (byte) b;
+        }
+
+        void count(int n) {
+            int rest = n;
+            while (rest > 127) {
+                put(rest & 127 | 128);
+                rest >>>= 7;
+            }
+            put(rest);
+        }
+
+        void number(int n) {
+            room(Integer.BYTES);
+            for (int shift = 24; shift >= 0; shift -= 8) {
+                bytes[size++] = (byte) (n >>> shift);
+            }
+        }
+
+        void number(long n) {
+            number((int) (n >>> 32));
+            number((int) n);
+        }
+
+        void number(double x) {
+            number(Double.doubleToRawLongBits(x));
+        }
+
+        void all(byte[] some) {
+            room(some.length);
+            System.arraycopy(some, 0, bytes, size, some.length);
+            size += some.length;
+        }
+
+        /** The number of the value that was written from there on, which is taken back where it stood there before. */
+        int value(int from) {
+            int length = size - from;
+            int hash = 1;
+            for (int i = from; i < size; i++) {
+                hash = 31 * hash + bytes[i];
+            }
+            if (4 * 4 * values >= 2 * table.length) {
+                rehash();
+            }
+            int at = place(hash);
+            while (table[at + 3] != 0) {
+                if (table[at + 2] == hash && table[at + 1] == length
+                        && Arrays.equals(bytes, table[at], table[at] + length, bytes, from, size)) {
+                    size = from;
+                    return table[at + 3] - 1;
+                }
+                at = (at + 4) % table.length;
+            }
+            enter(at, from, length, hash, ++values);
+            return values - 1;
+        }
+
+        private int place(int hash) {
+            int mixed = hash * 0x9E3779B9; // numbers in a row would lie in a row, and each be looked for along all of them
+            return 4 * Math.floorMod(mixed ^ mixed >>> 15, table.length / 4);
+        }
+
+        private void enter(int at, int from, int length, int hash, int number) {
+            table[at] = from;
+            table[at + 1] = length;
+            table[at + 2] = hash;
+            table[at + 3] = number;
+        }
+
+        private void rehash() {
+            int[] old = table;
+            table = new int[2 * old.length];
+            for (int i = 0; i < old.length; i += 4) {
+                if (old[i + 3] != 0) {
+                    int at = place(old[i + 2]);
+                    while (table[at + 3] != 0) {
+                        at = (at + 4) % table.length;
+                    }
+                    enter(at, old[i], old[i + 1], old[i + 2], old[i + 3]);
+                }
+            }
         }
-        out.writeByte(rest);
     }
 
     /** Writes one state: values, then the forms of all objects, then what each holds. */
     private final class Writer {
-        private final Map<Object, Integer> values = new HashMap<>();
-        /** Values that were met, by who they are: to find equal ones costs more. */
+        /** Composed values that were met, by who they are: to write them again only to find them costs more. */
         private final Map<Object, Integer> met = new IdentityHashMap<>();
         private final Map<Object, Integer> objects = new IdentityHashMap<>();
         private final ArrayDeque<Object> next = new ArrayDeque<>();
-        private final ByteArrayOutputStream valueBytes = new ByteArrayOutputStream();
-        private final ByteArrayOutputStream formBytes = new ByteArrayOutputStream();
-        private final ByteArrayOutputStream contentBytes = new ByteArrayOutputStream();
-        private final DataOutputStream value = new DataOutputStream(valueBytes);
-        private final DataOutputStream form = new DataOutputStream(formBytes);
-        private final DataOutputStream content = new DataOutputStream(contentBytes);
-
-        byte[] write(Object module) throws IOException, IllegalAccessException {
+        private final Bytes value = new Bytes();
+        private final Bytes form = new Bytes();
+        private final Bytes content = new Bytes();
+
+        byte[] write(Object module) throws IllegalAccessException {
             reference(module);
             for (Object o = next.poll(); o != null; o = next.poll()) {
                 content(o);
             }
-            ByteArrayOutputStream all = new ByteArrayOutputStream();
-            DataOutputStream out = new DataOutputStream(all);
-            out.write(schema.getBytes(StandardCharsets.US_ASCII));
-            writeCount(out, values.size());
-            valueBytes.writeTo(out);
-            writeCount(out, objects.size());
-            formBytes.writeTo(out);
-            contentBytes.writeTo(out);
-            return all.toByteArray();
+            Bytes out = new Bytes();
+            out.all(schema.getBytes(StandardCharsets.US_ASCII));
+            out.count(value.values);
+            out.all(Arrays.copyOf(value.bytes, value.size));
+            out.count(objects.size());
+            out.all(Arrays.copyOf(form.bytes, form.size));
+            out.all(Arrays.copyOf(content.bytes, content.size));
+            return Arrays.copyOf(out.bytes, out.size);
         }
 
         /** 0 for none, odd for a value, even for an object. */
-        private int reference(Object o) throws IOException, IllegalAccessException {
+        private int reference(Object o) throws IllegalAccessException {
             if (o == null) {
                 return 0;
             }
@@ -228,77 +313,87 @@
         }
 
         private boolean isValue(Object o) {
-            return o instanceof Number || o instanceof String || o instanceof Boolean || o instanceof Enum<?>
-                    || o instanceof Record || o instanceof List<?> && !(o instanceof ArrayList<?>);
+            return o instanceof Number || o instanceof Record || o instanceof Enum<?> || o instanceof String
+                    || o instanceof Boolean || o instanceof List<?> && !(o instanceof ArrayList<?>);
         }
 
         /** A value's number; it is written the first time, after those that it is made of. */
-        private int value(Object o) throws IOException, IllegalAccessException {
+        private int value(Object o) throws IllegalAccessException {
+            if (!(o instanceof Record || o instanceof List<?>)) {
+                return simple(o);
+            }
             Integer known = met.get(o);
             if (known == null) {
-                known = values.get(o);
-                if (known == null) {
-                    write(o, values);
-                    known = values.size() - 1;
-                }
+                known = o instanceof List<?> l ? list(l) : record(o);
                 met.put(o, known);
             }
             return known;
         }
 
-        private void write(Object o, Map<Object, Integer> to) throws IOException, IllegalAccessException {
-            if (o instanceof Record || o instanceof List<?>) {
-                composed(o);
-            } else if (o instanceof Integer n) {
-                value.writeByte(Value.INTEGER.ordinal());
-                value.writeInt(n);
+        private int simple(Object o) {
+            int from = value.size;
+            if (o instanceof Integer n) {
+                value.put(Value.INTEGER.ordinal());
+                value.number(n.intValue());
             } else if (o instanceof Long n) {
-                value.writeByte(Value.LONG.ordinal());
-                value.writeLong(n);
+                value.put(Value.LONG.ordinal());
+                value.number(n.longValue());
             } else if (o instanceof Double n) {
-                value.writeByte(Value.DOUBLE.ordinal());
-                value.writeDouble(n);
+                value.put(Value.DOUBLE.ordinal());
+                value.number(n.doubleValue());
             } else if (o instanceof Boolean b) {
-                value.writeByte(Value.BOOLEAN.ordinal());
-                value.writeBoolean(b);
+                value.put(Value.BOOLEAN.ordinal());
+                value.put(b ? 1 : 0);
             } else if (o instanceof String s) {
                 byte[] bytes = s.getBytes(StandardCharsets.UTF_8);
-                value.writeByte(Value.TEXT.ordinal());
-                writeCount(value, bytes.length);
-                value.write(bytes);
+                value.put(Value.TEXT.ordinal());
+                value.count(bytes.length);
+                value.all(bytes);
             } else if (o instanceof Enum<?> e) {
-                value.writeByte(Value.CONSTANT.ordinal());
-                writeCount(value, number(e.getDeclaringClass()));
-                writeCount(value, e.ordinal());
+                value.put(Value.CONSTANT.ordinal());
+                value.count(number(e.getDeclaringClass()));
+                value.count(e.ordinal());
             } else {
                 throw new IllegalStateException("a snapshot does not know " + o.getClass());
             }
-            to.put(o, to.size());
+            return value.value(from);
         }
 
-        private void composed(Object o) throws IOException, IllegalAccessException {
-            List<Integer> parts = new ArrayList<>();
-            if (o instanceof List<?> l) {
-                for (Object x : l) {
-                    parts.add(part(x));
-                }
-                value.writeByte(Value.FIXED_LIST.ordinal());
-                writeCount(value, parts.size());
-            } else {
-                int number = number(o.getClass());
-                for (Field f : fields.get(o.getClass())) {
-                    parts.add(part(f.get(o)));
-                }
-                value.writeByte(Value.RECORD.ordinal());
-                writeCount(value, number);
+        private int list(List<?> l) throws IllegalAccessException {
+            int[] parts = new int[l.size()];
+            int i = 0;
+            for (Object x : l) {
+                parts[i++] = part(x);
             }
+            int from = value.size;
+            value.put(Value.FIXED_LIST.ordinal());
+            value.count(parts.length);
             for (int p : parts) {
-                writeCount(value, p);
+                value.count(p);
             }
+            return value.value(from);
+        }
+
+        private int record(Object o) throws IllegalAccessException {
+            int number = number(o.getClass());
+            Field[] all = fields.get(o.getClass());
+            int[] parts = new int[all.length];
+            for (int i = 0; i < all.length; i++) {
+                parts[i] = all[i].getType().isPrimitive() ? 0 : part(all[i].get(o));
+            }
+            int from = value.size;
+            value.put(Value.RECORD.ordinal());
+            value.count(number);
+            for (int i = 0; i < all.length; i++) {
+                if (!primitive(all[i], o, value)) {
+                    value.count(parts[i]);
+                }
+            }
+            return value.value(from);
         }
 
         /** What a value is made of is a value, a list of any kind included, or none: 0. */
-        private int part(Object o) throws IOException, IllegalAccessException {
+        private int part(Object o) throws IllegalAccessException {
             return o == null ? 0 : 1 + value(o);
         }
 
@@ -310,71 +405,75 @@
             return n;
         }
 
-        private void form(Object o) throws IOException {
+        private void form(Object o) {
             Form f = o instanceof double[] ? Form.DOUBLES : o instanceof int[] ? Form.INTS
                     : o instanceof Object[] ? Form.OBJECTS : o.getClass() == ArrayList.class ? Form.LIST
                     : o.getClass() == LinkedHashMap.class ? Form.MAP : o.getClass() == LinkedHashSet.class ? Form.SET
                     : o.getClass() == ArrayDeque.class ? Form.QUEUE : o.getClass() == TreeSet.class ? Form.SORTED
                     : Form.PLAIN;
-            form.writeByte(f.ordinal());
+            form.put(f.ordinal());
             if (f == Form.PLAIN) {
-                writeCount(form, number(o.getClass()));
+                form.count(number(o.getClass()));
             } else if (o.getClass().isArray()) {
-                writeCount(form, Array.getLength(o));
+                form.count(Array.getLength(o));
                 if (f == Form.OBJECTS) {
-                    writeCount(form, number(o.getClass().getComponentType()));
+                    form.count(number(o.getClass().getComponentType()));
                 }
             } else if (o instanceof TreeSet<?> t) {
                 Enum<?> order = (Enum<?>) t.comparator();
-                writeCount(form, number(order.getDeclaringClass()));
-                writeCount(form, order.ordinal());
+                form.count(number(order.getDeclaringClass()));
+                form.count(order.ordinal());
             }
         }
 
-        private void content(Object o) throws IOException, IllegalAccessException {
+        private void content(Object o) throws IllegalAccessException {
             if (o instanceof double[] d) {
                 for (double x : d) {
-                    content.writeDouble(x);
+                    content.number(x);
                 }
             } else if (o instanceof int[] n) {
                 for (int x : n) {
-                    content.writeInt(x);
+                    content.number(x);
                 }
             } else if (o instanceof Object[] a) {
                 for (Object x : a) {
-                    writeCount(content, reference(x));
+                    content.count(reference(x));
                 }
             } else if (o instanceof Collection<?> c) {
-                writeCount(content, c.size());
+                content.count(c.size());
                 for (Object x : c) {
-                    writeCount(content, reference(x));
+                    content.count(reference(x));
                 }
             } else if (o instanceof Map<?, ?> m) {
-                writeCount(content, m.size());
+                content.count(m.size());
                 for (Map.Entry<?, ?> e : m.entrySet()) {
-                    writeCount(content, reference(e.getKey()));
-                    writeCount(content, reference(e.getValue()));
+                    content.count(reference(e.getKey()));
+                    content.count(reference(e.getValue()));
                 }
             } else {
                 for (Field f : fields.get(o.getClass())) {
-                    field(f, o);
+                    if (!primitive(f, o, content)) {
+                        content.count(reference(f.get(o)));
+                    }
                 }
             }
         }
 
-        private void field(Field f, Object of) throws IOException, IllegalAccessException {
+        /** Writes a field of a primitive type; false where it is of another. */
+        private boolean primitive(Field f, Object of, Bytes to) throws IllegalAccessException {
             Class<?> type = f.getType();
             if (type == double.class) {
-                content.writeDouble(f.getDouble(of));
+                to.number(f.getDouble(of));
             } else if (type == int.class) {
-                content.writeInt(f.getInt(of));
+                to.number(f.getInt(of));
             } else if (type == long.class) {
-                content.writeLong(f.getLong(of));
+                to.number(f.getLong(of));
             } else if (type == boolean.class) {
-                content.writeBoolean(f.getBoolean(of));
+                to.put(f.getBoolean(of) ? 1 : 0);
             } else {
-                writeCount(content, reference(f.get(of)));
+                return false;
             }
+            return true;
         }
     }
 
@@ -447,10 +546,12 @@
                 case TEXT -> new String(in.readNBytes(count()), StandardCharsets.UTF_8);
                 case CONSTANT -> classes.get(number()).getEnumConstants()[number()];
                 case RECORD -> {
-                    Constructor<?> made = constructors.get(classes.get(number()));
+                    Class<?> c = classes.get(number());
+                    Constructor<?> made = constructors.get(c);
                     Object[] parts = new Object[made.getParameterCount()];
                     for (int i = 0; i < parts.length; i++) {
-                        parts[i] = part();
+                        Object primitive = primitive(fields.get(c)[i].getType());
+                        parts[i] = primitive != null ? primitive : part();
                     }
                     yield made.newInstance(parts);
                 }
@@ -464,6 +565,18 @@
             };
         }
 
+        /** A value of a primitive type; null where it is of another. */
+        private Object primitive(Class<?> type) throws IOException {
+            if (type == double.class) {
+                return in.readDouble();
+            } else if (type == int.class) {
+                return in.readInt();
+            } else if (type == long.class) {
+                return in.readLong();
+            }
+            return type == boolean.class ? in.readBoolean() : null;
+        }
+
         private Object part() throws IOException {
             int n = number();
             return n == 0 ? null : values[n - 1];
@@ -530,7 +643,8 @@
                 later.add(() -> putAll(m, parts));
             } else {
                 for (Field f : fields.get(o.getClass())) {
-                    field(f, o);
+                    Object primitive = primitive(f.getType());
+                    f.set(o, primitive != null ? primitive : reference());
                 }
             }
         }
@@ -546,20 +660,5 @@
                 ((Map<Object, Object>) to).put(parts[i], parts[i + 1]);
             }
         }
-
-        private void field(Field f, Object of) throws IOException, IllegalAccessException {
-            Class<?> type = f.getType();
-            if (type == double.class) {
-                f.setDouble(of, in.readDouble());
-            } else if (type == int.class) {
-                f.setInt(of, in.readInt());
-            } else if (type == long.class) {
-                f.setLong(of, in.readLong());
-            } else if (type == boolean.class) {
-                f.setBoolean(of, in.readBoolean());
-            } else {
-                f.set(of, reference());
-            }
-        }
     }
 }
--- /dev/null
+++ b/capture/src/test/java/quincespar/capture/LongCapture.java
@@ -0,0 +1,50 @@
+package quincespar.capture;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+/** Writes a capture of ten minutes of virtual time to a folder, for measurements; no part of CI. */
+final class LongCapture {
+    private static final int REQUESTS = 340_000;
+    private static final long SEGMENT = 16 << 20;
+
+    private LongCapture() { }
+
+    /** To the folder that is named, in segments of 16 MB. */
+    public static void main(String[] args) throws IOException {
+        MemoryStore store = new MemoryStore();
+        Recording recording = new Recording(World.opening(71), new Segments(new Segments.Limits(SEGMENT, 1e15, 1L << 40, 1e15,
+                100, 100), new SegmentName("long", 1, 0), store.list(), 0), store, System.out::println);
+        recording.begin(0, null, 0, "");
+        double[] now = {0};
+        new World(71, new CapturedGateway.Tap() {
+            @Override
+            public void call(Entry.Call call) {
+                now[0] = call.time();
+                recording.call(now[0], call);
+            }
+
+            @Override
+            public void failed(Entry.Gap gap) {
+                recording.gap(now[0], gap);
+            }
+
+            @Override
+            public boolean wantsState() {
+                return recording.due(now[0]);
+            }
+
+            @Override
+            public void state(double time, byte[] bytes) {
+                recording.begin(time, new Entry.State(time, bytes), 0, "");
+            }
+        }).play(REQUESTS);
+        recording.close(now[0]);
+        Path folder = Files.createDirectories(Path.of(args[0]));
+        for (Store.Held h : store.list()) {
+            Files.write(folder.resolve(h.name()), store.files.get(h.name()).toByteArray());
+        }
+        System.out.println(recording.counts());
+    }
+}
--- a/frontend/src/main/java/quincespar/program/CaptureCommands.java
+++ b/frontend/src/main/java/quincespar/program/CaptureCommands.java
@@ -3,6 +3,8 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.io.UncheckedIOException;
+import java.net.URL;
+import java.net.URLClassLoader;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -183,6 +185,24 @@
         return r.parting() == null && r.otherStates() == 0 && rules.count() == 0 ? 0 : 1;
     }
 
+    /**
+     * As {@link #replay}, by another build: with its own reader and module, apart from this one's classes. Answers its
+     * exit code; throws where it is no build that can.
+     */
+    static int against(Path jar, Path folder, int from, Path decisions) throws IOException {
+        List<String> words = new ArrayList<>(List.of("replay", folder.toString(), "--from", Integer.toString(from)));
+        if (decisions != null) {
+            words.addAll(List.of("--decisions", decisions.toString()));
+        }
+        try (URLClassLoader other = new URLClassLoader(new URL[] {jar.toUri().toURL()},
+                ClassLoader.getPlatformClassLoader())) {
+            return (int) other.loadClass(Main.class.getName()).getMethod("run", String[].class).invoke(null,
+                    (Object) words.toArray(String[]::new));
+        } catch (ReflectiveOperationException e) {
+            throw new IOException(jar + " is no build of this program that can replay: " + e, e);
+        }
+    }
+
     private static void parted(Replay.Parting p) {
         System.out.println("parted at call " + p.call() + ", " + time(p.time()) + "; the calls before:");
         p.before().forEach(c -> System.out.println("  " + time(c.time()) + " " + c.events() + " -> " + c.actions()));
--- a/frontend/src/main/java/quincespar/program/Capturing.java
+++ b/frontend/src/main/java/quincespar/program/Capturing.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
 import quincespar.capture.CapturedGateway;
@@ -13,6 +14,7 @@
 import quincespar.capture.SegmentName;
 import quincespar.capture.Segments;
 import quincespar.capture.StateCodec;
+import quincespar.capture.Store;
 import quincespar.decision.Brain;
 import quincespar.decision.Gateway;
 import quincespar.settings.Keyword;
@@ -45,8 +47,10 @@
         Segments.Limits limits = new Segments.Limits((long) s.number(Keyword.CAPTURE_SEGMENT),
                 s.number(Keyword.CAPTURE_EVERY), (long) s.number(Keyword.CAPTURE_TOTAL), s.number(Keyword.CAPTURE_KEEP),
                 FIRST_PAUSE_MS, LONGEST_PAUSE_MS);
-        Segments segments = new Segments(limits, new SegmentName(name, System.currentTimeMillis(), 0), store.list(),
-                clock.now());
+        SegmentName before = new SegmentName(name, System.currentTimeMillis(), 0);
+        List<Store.Held> own = store.list().stream().filter(h -> SegmentName.read(h.name()).stream()
+                .anyMatch(n -> n.of().equals(before.of()))).toList(); // others may write to the same folder
+        Segments segments = new Segments(limits, before, own, clock.now());
         Entry.Opening opening = new Entry.Opening(name, now, seed, new Main.Version().getVersion()[0],
                 ModuleText.digest(Brain.class), settings);
         Recorder recorder = new Recorder(new Recording(opening, segments, store, tell), s.count(Keyword.CAPTURE_RING),
--- a/frontend/src/main/java/quincespar/program/Main.java
+++ b/frontend/src/main/java/quincespar/program/Main.java
@@ -149,9 +149,11 @@
             @CommandLine.Option(names = "--from", paramLabel = "SERIAL", defaultValue = "1",
             description = "The number of the first segment that is played.") int from,
             @CommandLine.Option(names = "--decisions", paramLabel = "FILE",
-            description = "Write the decisions there, a line for each call that had some.") Path decisions)
-            throws IOException {
-        return CaptureCommands.replay(folder, from, decisions);
+            description = "Write the decisions there, a line for each call that had some.") Path decisions,
+            @CommandLine.Option(names = "--against", paramLabel = "JAR",
+            description = "Play them on the module of that build instead.") Path against) throws IOException {
+        return against == null ? CaptureCommands.replay(folder, from, decisions)
+                : CaptureCommands.against(against, folder, from, decisions);
     }
 
     @Command(name = "explain", description = "Tell from captures what became of a request and why, or what was known of an"
--- a/frontend/src/main/java/quincespar/settings/Keyword.java
+++ b/frontend/src/main/java/quincespar/settings/Keyword.java
@@ -55,7 +55,7 @@
             "A segment ends after so long at the latest; each begins with the module's state."),
     /** What all segments hold. */
     CAPTURE_TOTAL("capture", "total", Type.SIZE, "256m", 131_072, 1L << 40,
-            "All segments in the folder hold so many bytes at the most, two segments at the least: the oldest go."),
+            "All segments of one name hold so many bytes at the most, two segments at the least: the oldest go."),
     /** How long segments are kept. */
     CAPTURE_KEEP("capture", "keep", Type.TIME, "24h", 1000, 8_640_000_000.0,
             "A segment goes so long after its end."),
--- a/frontend/src/test/java/quincespar/program/CaptureStoryTest.java
+++ b/frontend/src/test/java/quincespar/program/CaptureStoryTest.java
@@ -6,17 +6,25 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.FileSystem;
+import java.nio.file.FileSystems;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.jar.JarOutputStream;
+import java.util.stream.Stream;
+import java.util.zip.ZipEntry;
+import java.util.zip.ZipException;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import quincespar.capture.Captures;
 import quincespar.capture.Entry;
+import quincespar.capture.Replay;
 import quincespar.capture.SegmentName;
 import quincespar.decision.Gateway;
 import quincespar.settings.ConfReader;
@@ -152,6 +160,53 @@
         assertThat(command("replay", captures).code()).isZero();
     }
 
+    /** Of what lies in the folder the program drops its own only, also where that is over the bound. */
+    @Test
+    void whatOthersWroteToTheFolderIsLeftAlone() throws Exception {
+        Path other = captures.resolve("n2-0000000000001-000001.qcap");
+        Path own = captures.resolve("n1-0000000000001-000001.qcap");
+        Files.write(other, new byte[300_000_000]);
+        Files.write(own, new byte[300_000_000]); // over the bound of 256 MB already
+        live(6);
+        assertThat(other).exists();
+        assertThat(own).doesNotExist();
+    }
+
+    @Test
+    void anotherBuildPlaysTheCaptureToo() throws Exception {
+        live(6);
+        Path jar = folder.resolve("other.jar"); // of the classes here: another build of the same module
+        try (JarOutputStream out = new JarOutputStream(Files.newOutputStream(jar))) {
+            for (Class<?> part : List.of(Main.class, Replay.class, Gateway.class, picocli.CommandLine.class,
+                    com.fasterxml.jackson.dataformat.cbor.CBORFactory.class, com.fasterxml.jackson.core.JsonFactory.class,
+                    org.objenesis.Objenesis.class, org.slf4j.Logger.class, ch.qos.logback.classic.Logger.class,
+                    ch.qos.logback.core.Appender.class, org.antlr.v4.runtime.Token.class)) {
+                copy(Path.of(part.getProtectionDomain().getCodeSource().getLocation().toURI()), out);
+            }
+        }
+        Said here = command("replay", captures);
+        Said there = command("replay", captures, "--against", jar);
+        assertThat(there.code()).as(there.out()).isZero();
+        assertThat(there.out().lines().findFirst()).isEqualTo(here.out().lines().findFirst());
+        assertThat(command("replay", captures, "--against", folder.resolve("none.jar")).code()).isEqualTo(1);
+    }
+
+    private static void copy(Path from, JarOutputStream to) throws IOException {
+        Path root = Files.isDirectory(from) ? from : null;
+        try (FileSystem zip = root == null ? FileSystems.newFileSystem(from) : null;
+                Stream<Path> all = Files.walk(root == null ? zip.getPath("/") : root)) {
+            for (Path p : all.filter(f -> f.toString().endsWith(".class") && !f.toString().contains("module-info")).toList()) {
+                String name = (root == null ? p.toString().substring(1) : root.relativize(p).toString());
+                try {
+                    to.putNextEntry(new ZipEntry(name));
+                } catch (ZipException e) { // two libraries have it: the first is taken
+                    continue;
+                }
+                to.write(Files.readAllBytes(p));
+            }
+        }
+    }
+
     @Test
     void aTimeIsCutOutAndPlaysByItself() throws Exception {
         live(12);
