--- a/capture/src/main/java/quincespar/capture/RuleCheck.java
+++ b/capture/src/main/java/quincespar/capture/RuleCheck.java
@@ -30,6 +30,8 @@
         private final ClassSpec spec;
         private final List<Gateway.Outcome> attempts = new ArrayList<>();
         private boolean over;
+        /** Its client has left: nothing is owed, and nothing new may be sent. */
+        private boolean left;
 
         Open(ClassSpec spec) {
             this.spec = spec;
@@ -48,23 +50,34 @@
     private final Set<Long> ended = new LinkedHashSet<>();
     private final Map<Long, Double> notReadySince = new HashMap<>();
     private final List<String> breaches = new ArrayList<>();
+    private Entry.Opening opening;
     private Gateway.Settings settings;
     private long count;
 
     /** Takes one entry. */
     public void take(Entry e) {
         if (e instanceof Entry.Opening o) {
-            settings = settings == null ? o.settings() : settings;
+            boolean same = opening != null && o.name().equals(opening.name()) && o.time() == opening.time();
+            if (!same) { // another process: its numbers are its own
+                forgetAll();
+                opening = o;
+                settings = o.settings();
+            }
         } else if (e instanceof Entry.Gap) {
-            ended.clear();
-            requests.clear(); // what became of them is not known
-            notReadySince.clear();
+            forgetAll(); // what became of them is not known
         } else if (e instanceof Entry.Call c && settings != null) {
             c.events().forEach(x -> happened(c.time(), x));
             c.actions().forEach(x -> decided(c.time(), x));
+            c.events().forEach(this::left); // who leaves in a call may have been given up in it just before
         }
     }
 
+    private void forgetAll() {
+        ended.clear();
+        requests.clear();
+        notReadySince.clear();
+    }
+
     private void happened(double now, Event e) {
         if (e instanceof Gateway.Request r && r.cls() >= 0 && r.cls() < settings.classes().size()) {
             requests.putIfAbsent(r.id(), new Open(settings.classes().get(r.cls())));
@@ -86,6 +99,12 @@
                 forget(x.id(), r);
             }
         } else if (e instanceof Gateway.Left l && requests.containsKey(l.id())) {
+            requests.get(l.id()).left = true;
+        }
+    }
+
+    private void left(Event e) {
+        if (e instanceof Gateway.Left l && requests.containsKey(l.id())) {
             requests.get(l.id()).over = true;
             forget(l.id(), requests.get(l.id()));
         }
@@ -111,7 +130,7 @@
     }
 
     private void send(double now, Gateway.Send s, Open r) {
-        require(!r.over, now, s.id(), "is sent after its end");
+        require(!r.over && !r.left, now, s.id(), "is sent after its end");
         require(r.spec.effect() != Gateway.Effect.UNSAFE || !r.mayHaveRun(), now, s.id(),
                 "is sent again though it may have run, and may not run twice");
         require(r.out() == 0 || settings.limits().secondCopies(), now, s.id(), "has two attempts out");
--- a/capture/src/test/java/quincespar/capture/ScenesTest.java
+++ b/capture/src/test/java/quincespar/capture/ScenesTest.java
@@ -132,6 +132,37 @@
         assertThat(r.count()).isEqualTo(6);
     }
 
+    /** Captures of several processes lie in one folder, and each numbers its requests from 1. */
+    @Test
+    void processesAreHeldAgainstTheRulesEachByItself() {
+        RuleCheck r = new RuleCheck();
+        for (long seed : List.of(7L, 8L)) {
+            List<Entry> all = new ArrayList<>(new World(seed).play(100));
+            all.add(50, all.get(0)); // the next segment of the same process begins: nothing is forgotten
+            all.forEach(r::take);
+        }
+        assertThat(r.breaches()).isEmpty();
+        r.take(World.opening(8));
+        r.take(call(99_000, List.of(), new Gateway.Send(3, 1, 0)));
+        assertThat(r.breaches()).containsExactly("99.000 request 3 is sent after its end");
+    }
+
+    /** Seen in service: an attempt ends, the request is given up for it, and its client leaves, all in one call. */
+    @Test
+    void whoLeavesInTheCallInWhichItIsGivenUpHasOneAnswer() {
+        RuleCheck r = new RuleCheck();
+        r.take(World.opening(1));
+        Gateway.Event lookup = new Gateway.Request(2, 0, -1, 1300, 9, 1, 1, 0, false, false);
+        r.take(call(0, List.of(lookup), new Gateway.Send(2, 1, 0)));
+        r.take(call(10, List.of(ended(2, 0, Outcome.ERROR), new Gateway.Left(2)), new Gateway.Refuse(2, 0)));
+        assertThat(r.breaches()).isEmpty();
+        r.take(call(20, List.of(), new Gateway.Refuse(2, 0)));
+        r.take(call(30, List.of(new Gateway.Request(3, 0, -1, 1300, 9, 1, 1, 0, false, false))));
+        r.take(call(40, List.of(new Gateway.Left(3)), new Gateway.Send(3, 1, 0)));
+        assertThat(r.breaches()).containsExactly("0.020 request 2 has two final answers",
+                "0.040 request 3 is sent after its end");
+    }
+
     private static Gateway.Event ended(long id, int attempt, Outcome how) {
         return new Gateway.Ended(id, attempt, 1, how, 5, false, Double.NaN, Double.NaN, List.of());
     }
