--- a/capture/src/main/java/quincespar/capture/Captures.java
+++ b/capture/src/main/java/quincespar/capture/Captures.java
@@ -3,6 +3,7 @@
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.InputStream;
+import java.nio.file.NoSuchFileException;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
@@ -55,11 +56,16 @@
             if (!more[0]) {
                 return;
             }
-            End end = each(name, e -> {
-                time[0] = e instanceof Entry.Call c ? c.time() : time[0];
-                more[0] = taker.take(name, e);
-                return more[0];
-            });
+            End end;
+            try {
+                end = each(name, e -> {
+                    time[0] = e instanceof Entry.Call c ? c.time() : time[0];
+                    more[0] = taker.take(name, e);
+                    return more[0];
+                });
+            } catch (NoSuchFileException e) { // its writer goes on, and drops what is old while this one reads
+                end = new End(0, 0, "it has gone");
+            }
             if (more[0] && end.damage() != null) {
                 more[0] = taker.take(name, new Entry.Gap(time[0], 0, name.file() + ": " + end.damage()));
             }
--- a/capture/src/main/java/quincespar/capture/Store.java
+++ b/capture/src/main/java/quincespar/capture/Store.java
@@ -22,7 +22,7 @@
     /** All segments that are kept. */
     List<Held> list() throws IOException;
 
-    /** Reads one. */
+    /** Reads one; throws {@link java.nio.file.NoSuchFileException} where it has gone meanwhile. */
     InputStream open(String name) throws IOException;
 
     /** Begins a new one. */
--- a/capture/src/test/java/quincespar/capture/MemoryStore.java
+++ b/capture/src/test/java/quincespar/capture/MemoryStore.java
@@ -4,6 +4,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
+import java.nio.file.NoSuchFileException;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -35,8 +36,12 @@
     }
 
     @Override
-    public InputStream open(String name) {
-        return new ByteArrayInputStream(files.get(name).toByteArray());
+    public InputStream open(String name) throws IOException {
+        ByteArrayOutputStream file = files.get(name);
+        if (file == null) {
+            throw new NoSuchFileException(name);
+        }
+        return new ByteArrayInputStream(file.toByteArray());
     }
 
     @Override
--- a/capture/src/test/java/quincespar/capture/RecordingTest.java
+++ b/capture/src/test/java/quincespar/capture/RecordingTest.java
@@ -187,6 +187,30 @@
         assertThat(r.states()).isEqualTo(all.size() - 1 - 3); // 2 is missing, 3 and 4 are restored anew
     }
 
+    /** The writer goes on while someone reads: what it drops meanwhile is a gap, and what is left plays. */
+    @Test
+    @Timeout(120)
+    void whatIsDroppedWhileItIsReadIsAGap() throws IOException {
+        play(47, new Segments.Limits(20_000, 1e9, 100_000_000, 1e9, 100, 800), 1000);
+        Captures captures = new Captures(store);
+        List<SegmentName> all = captures.names();
+        Replay replay = new Replay(new BrainModules());
+        List<Entry.Gap> gaps = new ArrayList<>();
+        captures.entries(all, (name, e) -> {
+            store.files.remove(all.get(1).file()); // and the first one, which is open already, is read to its end
+            store.files.remove(all.get(0).file());
+            if (e instanceof Entry.Gap g) {
+                gaps.add(g);
+            }
+            return replay.play(e);
+        });
+        assertThat(gaps).hasSize(1);
+        assertThat(gaps.get(0).why()).isEqualTo(all.get(1).file() + ": it has gone");
+        assertThat(replay.result().parting()).isNull();
+        assertThat(replay.result().lost()).isZero();
+        assertThat(replay.result().states()).isEqualTo(all.size() - 3);
+    }
+
     @Test
     @Timeout(120)
     void aCutHoldsTheStateBeforeItAndPlays() throws IOException {
