Keep the log of one life out of what a command prints in the capture stories

The test caught standard error together with standard output, and the log's own thread writes to whatever standard error is at that moment. Nothing in the program changes.

--- a/frontend/src/test/java/quincespar/program/CaptureStoryTest.java
+++ b/frontend/src/test/java/quincespar/program/CaptureStoryTest.java
@@ -52,18 +52,16 @@
 
     private record Said(int code, String out) { }
 
+    /** Standard output alone: the log of the life before may still be written to the other. */
     private static Said command(Object... words) {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         PrintStream before = System.out;
-        PrintStream errors = System.err;
         try (PrintStream to = new PrintStream(out, true, StandardCharsets.UTF_8)) {
             System.setOut(to);
-            System.setErr(to);
             int code = Main.run(java.util.Arrays.stream(words).map(String::valueOf).toArray(String[]::new));
             return new Said(code, out.toString(StandardCharsets.UTF_8));
         } finally {
             System.setOut(before);
-            System.setErr(errors);
         }
     }
 
