Look each request up once in the rule check, and name a form's digest in one place

RuleCheck.decided asked in six branches whether a request is over or known, and looked each up again in every one; EntryCodec and StateCodec made the same sixteen digits of a digest by the same line. Change: a branch for each kind of action, which looks up once; Digests.name. No rule, bound or text changes.

--- a/capture/src/main/java/quincespar/capture/Digests.java
+++ b/capture/src/main/java/quincespar/capture/Digests.java
@@ -1,7 +1,9 @@
 package quincespar.capture;
 
+import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
 
 /** Digests that every Java platform has. */
 final class Digests {
@@ -15,6 +17,11 @@
         }
     }
 
+    /** Sixteen hex digits of a text's digest: a name for a form that changes where the form does. */
+    static String name(String text) {
+        return HexFormat.of().formatHex(sha256(text.getBytes(StandardCharsets.UTF_8)), 0, 8);
+    }
+
     static byte[] sha256(byte[] bytes) {
         return sha256().digest(bytes);
     }
--- a/capture/src/main/java/quincespar/capture/EntryCodec.java
+++ b/capture/src/main/java/quincespar/capture/EntryCodec.java
@@ -7,9 +7,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
-import java.util.HexFormat;
 
 /** Entries as bytes and back. Used by one thread. */
 public final class EntryCodec {
@@ -19,7 +17,7 @@
 
     /** Sixteen hex digits that change where the form of entries does. */
     public String schema() {
-        return HexFormat.of().formatHex(Digests.sha256(records.schema().getBytes(StandardCharsets.UTF_8)), 0, 8);
+        return Digests.name(records.schema());
     }
 
     /** An entry's bytes. */
--- a/capture/src/main/java/quincespar/capture/RuleCheck.java
+++ b/capture/src/main/java/quincespar/capture/RuleCheck.java
@@ -91,18 +91,21 @@
                     notReadySince.putIfAbsent(n.id(), now);
                 }
             });
-        } else if (e instanceof Gateway.Ended x && requests.get(x.id()) instanceof Open) {
-            Open r = requests.get(x.id());
-            if (x.attempt() >= 0 && x.attempt() < r.attempts.size() && r.attempts.get(x.attempt()) == null) {
-                r.attempts.set(x.attempt(), x.outcome()); // an end that is told again says nothing
-                r.over |= x.over();
-                forget(x.id(), r);
-            }
+        } else if (e instanceof Gateway.Ended x) {
+            ended(x, requests.get(x.id()));
         } else if (e instanceof Gateway.Left l && requests.containsKey(l.id())) {
             requests.get(l.id()).left = true;
         }
     }
 
+    private void ended(Gateway.Ended x, Open r) {
+        if (r != null && x.attempt() >= 0 && x.attempt() < r.attempts.size() && r.attempts.get(x.attempt()) == null) {
+            r.attempts.set(x.attempt(), x.outcome()); // an end that is told again says nothing
+            r.over |= x.over();
+            forget(x.id(), r);
+        }
+    }
+
     private void left(Event e) {
         if (e instanceof Gateway.Left l && requests.containsKey(l.id())) {
             requests.get(l.id()).over = true;
@@ -111,25 +114,20 @@
     }
 
     private void decided(double now, Action a) {
-        if (a instanceof Gateway.Send s && ended.contains(s.id())) {
-            require(false, now, s.id(), "is sent after its end");
-        } else if (a instanceof Gateway.Refuse r && ended.contains(r.id())) {
-            require(false, now, r.id(), "has two final answers");
-        } else if (a instanceof Gateway.Fail f && ended.contains(f.id())) {
-            require(false, now, f.id(), "has two final answers");
-        } else if (a instanceof Gateway.Send s && requests.get(s.id()) instanceof Open) {
-            send(now, s, requests.get(s.id()));
-        } else if (a instanceof Gateway.Refuse r && requests.get(r.id()) instanceof Open) {
-            Open o = requests.get(r.id());
-            require(o.spec.effect() != Gateway.Effect.UNSAFE || !o.mayHaveRun(), now, r.id(),
-                    "is refused after it may have run");
-            answered(now, r.id(), o);
-        } else if (a instanceof Gateway.Fail f && requests.get(f.id()) instanceof Open) {
-            answered(now, f.id(), requests.get(f.id()));
+        if (a instanceof Gateway.Send x) {
+            send(now, x, requests.get(x.id()));
+        } else if (a instanceof Gateway.Refuse x) {
+            answered(now, x.id(), requests.get(x.id()), true);
+        } else if (a instanceof Gateway.Fail x) {
+            answered(now, x.id(), requests.get(x.id()), false);
         }
     }
 
     private void send(double now, Gateway.Send s, Open r) {
+        require(!ended.contains(s.id()), now, s.id(), "is sent after its end");
+        if (r == null) {
+            return; // over, or open since before the first call that is known
+        }
         require(!r.over && !r.left, now, s.id(), "is sent after its end");
         require(r.spec.effect() != Gateway.Effect.UNSAFE || !r.mayHaveRun(), now, s.id(),
                 "is sent again though it may have run, and may not run twice");
@@ -140,7 +138,13 @@
         r.attempts.add(null);
     }
 
-    private void answered(double now, long id, Open r) {
+    private void answered(double now, long id, Open r, boolean refused) {
+        require(!ended.contains(id), now, id, "has two final answers");
+        if (r == null) {
+            return;
+        }
+        require(!refused || r.spec.effect() != Gateway.Effect.UNSAFE || !r.mayHaveRun(), now, id,
+                "is refused after it may have run");
         require(!r.over, now, id, "has two final answers");
         r.over = true;
         forget(id, r);
--- a/capture/src/main/java/quincespar/capture/StateCodec.java
+++ b/capture/src/main/java/quincespar/capture/StateCodec.java
@@ -18,7 +18,6 @@
 import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HexFormat;
 import java.util.IdentityHashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -76,7 +75,7 @@
             }
             text.append('\n');
         }
-        schema = HexFormat.of().formatHex(Digests.sha256(text.toString().getBytes(StandardCharsets.UTF_8)), 0, 8);
+        schema = Digests.name(text.toString());
     }
 
     /** Sixteen hex digits that change where what the module remembers does. */
