--- a/frontend/src/main/java/quincespar/program/engines/EngineLinks.java
+++ b/frontend/src/main/java/quincespar/program/engines/EngineLinks.java
@@ -21,7 +21,7 @@
 import quincespar.transport.Connection;
 import quincespar.transport.EventLoop;
 import quincespar.transport.OutboxBound;
-import quincespar.transport.Passage;
+import quincespar.transport.WithdrawableWrite;
 
 /** The connections to engines, which speak RESP. */
 public final class EngineLinks {
@@ -68,7 +68,7 @@
     }
 
     public void send(Effect.Send e) {
-        send(e.link(), EngineCodec.serve(e.txn(), e.queue(), e.budgetMs(), e.statement()), e.passage(),
+        send(e.link(), EngineCodec.serve(e.txn(), e.queue(), e.budgetMs(), e.statement()), e.write(),
                 () -> post.accept(new Input.SendWritten(e.key())));
     }
 
@@ -92,9 +92,9 @@
         return connections.size();
     }
 
-    private void send(long link, byte[] bytes, Passage passage, Runnable written) {
+    private void send(long link, byte[] bytes, WithdrawableWrite write, Runnable written) {
         Connection c = connections.get(link);
-        if (c != null && !c.send(bytes, passage, written)) {
+        if (c != null && !c.send(bytes, write, written)) {
             c.close("the engine does not read"); // or it is over, and then its end is on its way
         }
     }
--- a/frontend/src/main/java/quincespar/routing/Attempt.java
+++ b/frontend/src/main/java/quincespar/routing/Attempt.java
@@ -3,7 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.util.List;
 import quincespar.decision.Gateway.Outcome;
-import quincespar.transport.Passage;
+import quincespar.transport.WithdrawableWrite;
 
 /** One sending of a request to one engine. */
 final class Attempt {
@@ -12,7 +12,7 @@
     final long engine;
     final double at;
     final double until;
-    final Passage passage = new Passage();
+    final WithdrawableWrite write = new WithdrawableWrite();
     Link link;
     /** Its end, once it has one. */
     Outcome outcome;
--- a/frontend/src/main/java/quincespar/routing/Attempts.java
+++ b/frontend/src/main/java/quincespar/routing/Attempts.java
@@ -100,7 +100,7 @@
         Query q = a.request.query;
         tally.engine(a.link.engine.listed.id(), "sent");
         turn.effect(new Effect.Send(a.link.id, a.key, q.txn(), a.request.spec.name(),
-                Math.max(1, Math.round(a.until - turn.now)), q.statement(), a.passage));
+                Math.max(1, Math.round(a.until - turn.now)), q.statement(), a.write));
     }
 
     /** Ends an attempt from here. The module hears of it once the cancel is written, and not before. */
@@ -108,7 +108,7 @@
         if (a.outcome != null || a.givenUp != null) {
             return;
         }
-        if (a.passage.revoke()) {
+        if (a.write.withdraw()) {
             end(a, as == Outcome.TIMEOUT ? Outcome.CONNECT_FAILED : as);
         } else if (a.done()) {
             turn.effect(new Effect.Release(a.link.id, a.txn()));
--- a/frontend/src/main/java/quincespar/routing/Effect.java
+++ b/frontend/src/main/java/quincespar/routing/Effect.java
@@ -2,7 +2,7 @@
 
 import java.util.Map;
 import quincespar.recovery.Entry;
-import quincespar.transport.Passage;
+import quincespar.transport.WithdrawableWrite;
 
 /** Something that the reducer asks to be done. None of it waits. */
 public sealed interface Effect {
@@ -21,9 +21,9 @@
     /** Close a link at once. */
     record CloseLink(long link, String why) implements Effect { }
 
-    /** Send an attempt, if {@code passage} stands when its first byte would go out. */
+    /** Send an attempt, if {@code write} was not withdrawn when its first byte would go out. */
     record Send(long link, AttemptKey key, String txn, String queue, long budgetMs, byte[] statement,
-            Passage passage) implements Effect { }
+            WithdrawableWrite write) implements Effect { }
 
     /** Give an attempt up, and say when that is written. */
     record Cancel(long link, AttemptKey key, String txn) implements Effect { }
--- a/frontend/src/main/java/quincespar/routing/Links.java
+++ b/frontend/src/main/java/quincespar/routing/Links.java
@@ -154,7 +154,7 @@
         turn.stop(new TimerKey.Idle(l.id));
         turn.stop(new TimerKey.Midway(l.id));
         for (Attempt a : List.copyOf(l.open.values())) {
-            boolean neverRan = a.passage.revoke();
+            boolean neverRan = a.write.withdraw();
             attempts.end(a, neverRan ? Outcome.CONNECT_FAILED : a.givenUp != null ? a.givenUp
                     : a.done() ? Outcome.ERROR : Outcome.RESET);
         }
--- a/frontend/src/main/java/quincespar/routing/Roster.java
+++ b/frontend/src/main/java/quincespar/routing/Roster.java
@@ -121,7 +121,7 @@
                 links.drop(l, "its engine takes nothing new"); // a connect must not outlive the grace
             } else if (!e.ready()) {
                 for (Attempt a : List.copyOf(l.open.values())) {
-                    if (a.passage.revoke()) { // still queued: it must not go out late
+                    if (a.write.withdraw()) { // still queued: it must not go out late
                         attempts.end(a, Outcome.CONNECT_FAILED);
                     }
                 }
--- a/frontend/src/main/java/quincespar/transport/Connection.java
+++ b/frontend/src/main/java/quincespar/transport/Connection.java
@@ -43,19 +43,19 @@
 
     private static final class Frame {
         final ByteBuffer bytes;
-        final Passage passage;
+        final WithdrawableWrite write;
         final Runnable written;
         boolean begun;
 
-        Frame(byte[] bytes, Passage passage, Runnable written) {
+        Frame(byte[] bytes, WithdrawableWrite write, Runnable written) {
             this.bytes = ByteBuffer.wrap(bytes);
-            this.passage = passage;
+            this.write = write;
             this.written = written;
         }
 
         /** Whether it goes out; asked before its first byte, and its leave can't be taken back from then on. */
         boolean begin() {
-            begun = begun || passage == null || passage.begin();
+            begun = begun || write == null || write.begin();
             return begun;
         }
 
@@ -165,8 +165,8 @@
         return send(bytes, null, null);
     }
 
-    /** As {@link #send(byte[])}: only if {@code passage} still stands at the first byte; {@code written} follows. */
-    public boolean send(byte[] bytes, Passage passage, Runnable written) {
+    /** As {@link #send(byte[])}: only if {@code write} was not withdrawn at the first byte; {@code written} follows. */
+    public boolean send(byte[] bytes, WithdrawableWrite write, Runnable written) {
         List<Runnable> told = new ArrayList<>(1);
         synchronized (outbox) {
             if (phase.compareTo(Phase.FINISHING) >= 0 || !bound.take(pending, bytes.length)) {
@@ -174,7 +174,7 @@
             }
             pending += bytes.length;
             boolean first = outbox.isEmpty();
-            outbox.add(new Frame(bytes, passage, written));
+            outbox.add(new Frame(bytes, write, written));
             if (first && phase == Phase.OPEN) {
                 write(told);
             }
--- a/frontend/src/test/java/quincespar/routing/ReducerTest.java
+++ b/frontend/src/test/java/quincespar/routing/ReducerTest.java
@@ -87,7 +87,7 @@
 
     /** What the transport does when the first byte goes out, seen from here: the leave can't be taken back. */
     private static void begun(Effect.Send send) {
-        assertThat(send.passage().begin()).isTrue();
+        assertThat(send.write().begin()).isTrue();
     }
 
     private static EngineNews.Done done(Effect.Send s, int pages) {
@@ -209,7 +209,7 @@
     void whatIsQueuedForADrainingEngineNeverGoesOut() {
         Effect.Send s = sent(0);
         step(new Input.Changes(1, 2, List.of(fleet(2, Phase.DRAINING, "a"))));
-        assertThat(s.passage().revoke()).isTrue();
+        assertThat(s.write().withdraw()).isTrue();
         assertThat(outcome()).isEqualTo(Outcome.CONNECT_FAILED);
     }
 
--- a/frontend/src/test/java/quincespar/routing/RouterWorld.java
+++ b/frontend/src/test/java/quincespar/routing/RouterWorld.java
@@ -96,7 +96,7 @@
                 next.add(new Input.LinkUp(x.link()));
             } else if (e instanceof Effect.Send x) {
                 assertThat(out).as("two at once").doesNotContainKey(x.txn());
-                assertThat(x.passage().begin()).isTrue();
+                assertThat(x.write().begin()).isTrue();
                 next.add(new Input.SendWritten(x.key()));
                 sends.merge(x.txn(), 1, Integer::sum);
                 out.put(x.txn(), x);
--- a/frontend/src/test/java/quincespar/transport/ConnectionTest.java
+++ b/frontend/src/test/java/quincespar/transport/ConnectionTest.java
@@ -173,15 +173,15 @@
     void aFrameWhoseLeaveWasTakenBackDoesNotGoOutAndOthersDo() throws Exception {
         try (Socket peer = peer()) {
             Connection c = accepted(new OutboxBound(100, 100));
-            Passage revoked = new Passage();
-            Passage kept = new Passage();
-            c.send(new byte[] {1}, revoked, null);
+            WithdrawableWrite withdrawn = new WithdrawableWrite();
+            WithdrawableWrite kept = new WithdrawableWrite();
+            c.send(new byte[] {1}, withdrawn, null);
             c.send(new byte[] {2}, kept, null);
-            assertThat(revoked.revoke()).isTrue();
+            assertThat(withdrawn.withdraw()).isTrue();
             c.start(handler);
             c.finish();
             assertThat(peer.getInputStream().readAllBytes()).containsExactly(2);
-            assertThat(kept.revoke()).isFalse();
+            assertThat(kept.withdraw()).isFalse();
         }
     }
 
--- a/laboratory/src/main/java/quincespar/laboratory/LostFleet.java
+++ b/laboratory/src/main/java/quincespar/laboratory/LostFleet.java
@@ -327,7 +327,7 @@
 
         private void send(Effect.Send e) {
             VirtualEngine to = links.get(e.link());
-            if (to == null || !e.passage().begin()) {
+            if (to == null || !e.write().begin()) {
                 return;
             }
             later(0, new Input.SendWritten(e.key()));
