Give each engine message its own time to come whole

Read: EngineLinks.Receiver posted Midway only when the decoder went from half to whole or back. An engine whose messages come one into the other is half there at the end of every read, so the timer of the first half (links.midway, 500 ms) ran on over messages that had come whole and dropped a good connection with all that was open on it. Midway is now posted anew for each message.

EngineLinksTest (scripted engine, each write ends within the next message): red with the old condition (timed out, no second Midway), green with it.

--- a/frontend/src/main/java/quincespar/program/engines/EngineLinks.java
+++ b/frontend/src/main/java/quincespar/program/engines/EngineLinks.java
@@ -103,6 +103,7 @@
         private final long link;
         private final RespDecoder decoder = new RespDecoder();
         private boolean midway;
+        private boolean whole;
 
         Receiver(long link) {
             this.link = link;
@@ -116,13 +117,15 @@
         @Override
         public void received(byte[] bytes, int count) {
             try {
+                whole = false;
                 decoder.feed(bytes, count, items -> {
+                    whole = true;
                     EngineNews news = said(items);
                     if (news != null) {
                         post.accept(new Input.Said(link, news));
                     }
                 });
-                if (decoder.midway() != midway) {
+                if (decoder.midway() != midway || midway && whole) { // each message has its own time to come whole
                     midway = decoder.midway();
                     post.accept(new Input.Midway(link, midway));
                 }
