Pause before asking a change log again that answers early with nothing new

Read: Membership.answered asked again at once unless the number ran ahead of the events. A change log that answers at once with no news, or with an older number, was asked without end: FleetCallsTest counts 600,100 calls a minute of a hundred front ends where 6,400 are allowed. An answer before half of the wait that tells nothing now counts as a failure of its own kind and is followed by the usual pauses.

FleetCallsTest EMPTY_AT_ONCE and OLD_NUMBER: red without it, green with it; MembershipModelTest's orders hold.

--- a/frontend/src/main/java/quincespar/membership/Membership.java
+++ b/frontend/src/main/java/quincespar/membership/Membership.java
@@ -62,6 +62,7 @@
     private long question;
     private long wait;
     private int failures;
+    private double askedAt;
     private double answeredAt;
     private boolean toldStale;
 
@@ -83,23 +84,26 @@
     /**
      * An answer came whole: events up to and with number {@code seq}. One to an earlier question is no news. Where
      * the number runs ahead of the events, they are asked for again at once, and from then on after pauses: such a
-     * change log would answer at once each time.
+     * change log would answer at once each time. So would one that answers with nothing new before it had to.
      */
     public List<Act> answered(double time, long asked, long seq, List<FleetEvent> events) {
         now = Math.max(now, time);
         if (phase == Phase.ASKING && asked == question) {
+            boolean early = now - askedAt < pace.waitMs() / 2.0;
+            long before = taken;
             answeredAt = now;
-            failures = seq == claimed ? failures : 0;
             if (toldStale) {
                 acts.add(new Say("the change log answers again; the list holds " + members.all().size() + " engines"));
                 toldStale = false;
             }
             acts.add(new Forget(wait));
             learn(events);
-            if (seq > taken && seq == claimed) {
+            boolean empty = seq > taken ? seq == claimed : early && taken == before;
+            failures = empty ? failures : 0;
+            claimed = seq > taken ? seq : 0;
+            if (empty) {
                 pause();
             } else {
-                claimed = seq > taken ? seq : 0;
                 ask();
             }
         }
@@ -185,6 +189,7 @@
 
     private void ask() {
         phase = Phase.ASKING;
+        askedAt = now;
         question = ++serial;
         acts.add(new Ask(question, address, taken, pace.waitMs()));
         await(pace.waitMs() + pace.slackMs());
--- a/frontend/src/test/java/quincespar/membership/FleetCallsTest.java
+++ b/frontend/src/test/java/quincespar/membership/FleetCallsTest.java
@@ -20,8 +20,8 @@
     private static final int FRONTS = 100, MINUTE = 60_000;
     private static final Pace PACE = new Pace(2000, 1000, 250, 1000, 10_000);
 
-    /** Takes calls and says nothing; breaks them off at once; answers late with no news. */
-    private enum Trouble { STALLED, BROKEN_OFF, SLOW }
+    /** Takes calls and says nothing; breaks them off at once; answers late with no news, or at once, or with an old number. */
+    private enum Trouble { STALLED, BROKEN_OFF, SLOW, EMPTY_AT_ONCE, OLD_NUMBER }
 
     @ParameterizedTest
     @EnumSource(Trouble.class)
@@ -47,6 +47,9 @@
                 if (asked > 0 && trouble == Trouble.BROKEN_OFF) {
                     acts.addAll(m.failed(at, asked, "broken off"));
                     asked = 0;
+                } else if (asked > 0 && (trouble == Trouble.EMPTY_AT_ONCE || trouble == Trouble.OLD_NUMBER)) {
+                    acts.addAll(m.answered(at, asked, trouble == Trouble.OLD_NUMBER ? 0 : 1, List.of()));
+                    asked = 0;
                 } else if (asked > 0 && trouble == Trouble.SLOW && at >= askedAt + 1900) {
                     acts.addAll(m.answered(at, asked, 1, List.of()));
                     asked = 0;
