Withdraw what has not begun when its request ends, its window closes or its engine drains

One method withdraws now (Attempts.withdraw), for all who take a queued attempt back. An attempt has a time to begin by. A request that had its last word on a connection goes on another. A refusal is judged by OpenRequest.refusable, keyed classes too.

--- a/frontend/src/main/java/quincespar/routing/Attempt.java
+++ b/frontend/src/main/java/quincespar/routing/Attempt.java
@@ -12,6 +12,8 @@
     final long engine;
     final double at;
     final double until;
+    /** It must have begun by then, or it is withdrawn. */
+    final double beginBy;
     final WithdrawableWrite write = new WithdrawableWrite();
     Link link;
     /** Its end, once it has one. */
@@ -22,12 +24,13 @@
     private byte[][] pages;
     private int missing;
 
-    Attempt(OpenRequest request, int number, long engine, double at, double until) {
+    Attempt(OpenRequest request, int number, long engine, double at, double until, double beginBy) {
         this.request = request;
         this.key = new AttemptKey(request.id, number);
         this.engine = engine;
         this.at = at;
         this.until = until;
+        this.beginBy = beginBy;
     }
 
     /** The engine's name for its request. */
--- a/frontend/src/main/java/quincespar/routing/Attempts.java
+++ b/frontend/src/main/java/quincespar/routing/Attempts.java
@@ -25,9 +25,10 @@
         this.tally = tally;
     }
 
-    /** What carries them; the two know each other. */
+    /** What carries them; the two know each other, as do these and the requests. */
     void over(Links carrying) {
         links = carrying;
+        requests.with(this);
     }
 
     /** Its cancel has been written. */
@@ -60,7 +61,7 @@
     }
 
     void refuse(OpenRequest r, double comeBack) {
-        if (r != null && r.unsafe() && r.mayHaveRun()) { // a refusal says that a repeat is harmless
+        if (r != null && !r.refusable()) { // a refusal says that a repeat is harmless
             turn.effect(new Effect.Log("refusal of " + r.query.txn() + ", which may have run, was made a failure"));
             requests.answer(r, new Reply.Failed());
         } else {
@@ -76,14 +77,18 @@
             return;
         }
         double until = s.timeout() > 0 ? Math.min(r.until, turn.now + s.timeout()) : r.until;
-        Attempt a = new Attempt(r, r.attempts.size(), s.engine(), turn.now, until);
+        Attempt a = new Attempt(r, r.attempts.size(), s.engine(), turn.now, until,
+                r.beginBy() - turn.site.module().tick());
         r.attempts.add(a);
         Fleet.Engine e = fleet.get(s.engine());
-        if (e == null || !e.ready()) {
+        if (e == null || !e.ready() || turn.now >= a.beginBy) {
             end(a, Outcome.CONNECT_FAILED);
             return;
         }
         turn.timer(new TimerKey.Attempt(a.key), until - turn.now);
+        if (a.beginBy < until) {
+            turn.timer(new TimerKey.Begin(a.key), a.beginBy - turn.now);
+        }
         a.link = links.link(e, r.query.txn(), r.unsafe());
         if (a.link == null) {
             end(a, Outcome.CONNECT_FAILED);
@@ -97,20 +102,49 @@
     }
 
     void write(Attempt a) {
+        if (turn.now >= a.beginBy) {
+            withdraw(a, Outcome.CONNECT_FAILED);
+            return;
+        }
         Query q = a.request.query;
         tally.engine(a.link.engine.listed.id(), "sent");
         turn.effect(new Effect.Send(a.link.id, a.key, q.txn(), a.request.spec.name(),
                 Math.max(1, Math.round(a.until - turn.now)), q.statement(), a.write));
     }
 
+    /** It ought to have begun by now. */
+    void beginDue(Attempt a) {
+        if (a != null) {
+            withdraw(a, Outcome.CONNECT_FAILED);
+        }
+    }
+
+    /** What of a request has not begun will not: nobody waits for it any more. */
+    void withdraw(OpenRequest r) {
+        List.copyOf(r.attempts).forEach(a -> withdraw(a, Outcome.MOOT));
+    }
+
+    /**
+     * Ends an attempt of which no byte has gone out, with the proof that none ever will; false where it has begun. The
+     * one way for all that takes a queued attempt back: its client, its engine or its time may be gone by then.
+     */
+    boolean withdraw(Attempt a, Outcome as) {
+        if (a.outcome == null && a.write.withdraw()) {
+            end(a, as);
+            return true;
+        }
+        return false;
+    }
+
     /** Ends an attempt from here. The module hears of it once the cancel is written, and not before. */
     void giveUp(Attempt a, Outcome as) {
         if (a.outcome != null || a.givenUp != null) {
             return;
         }
-        if (a.write.withdraw()) {
-            end(a, as == Outcome.TIMEOUT ? Outcome.CONNECT_FAILED : as);
-        } else if (a.done()) {
+        if (withdraw(a, as == Outcome.TIMEOUT ? Outcome.CONNECT_FAILED : as)) {
+            return;
+        }
+        if (a.done()) {
             turn.effect(new Effect.Release(a.link.id, a.txn()));
             end(a, as);
         } else {
@@ -129,6 +163,9 @@
             tally.engine(a.link.engine.listed.id(), outcome.name());
         }
         turn.stop(new TimerKey.Attempt(a.key));
+        if (a.beginBy < a.until) {
+            turn.stop(new TimerKey.Begin(a.key));
+        }
         if (a.givenUp != null) {
             turn.stop(new TimerKey.GiveUp(a.key));
         }
@@ -175,15 +212,18 @@
             }
         } else if (news instanceof EngineNews.Full f && !a.done()) { // said after DONE it proves nothing
             a.load = f.load();
+            l.answered.add(a.txn());
             end(a, Outcome.FULL);
         } else if (news instanceof EngineNews.Past p && !a.done()) {
             a.load = p.load();
+            l.answered.add(a.txn());
             end(a, Outcome.MOOT);
         } else if (news instanceof EngineNews.Broke b) {
             a.load = b.load().isEmpty() ? a.load : b.load();
             if (a.done()) {
                 turn.effect(new Effect.Release(l.id, news.id()));
             }
+            l.answered.add(a.txn());
             fail(a); // also where a page is lost: the query ran
         }
     }
--- a/frontend/src/main/java/quincespar/routing/Input.java
+++ b/frontend/src/main/java/quincespar/routing/Input.java
@@ -58,6 +58,9 @@
     /** This process ends at that time whatever is open: each request has its answer by then. */
     record EndsAt(double time) implements Input { }
 
+    /** Clients have had their time to hear of the end: what still comes is refused, as it never ran. */
+    record TurnsAway() implements Input { }
+
     /** The operators say that the configuration has been replaced. */
     record Hangup() implements Input { }
 
--- a/frontend/src/main/java/quincespar/routing/Link.java
+++ b/frontend/src/main/java/quincespar/routing/Link.java
@@ -14,6 +14,8 @@
     final Set<String> probes = new HashSet<>();
     /** Requests that were given up here: a late answer to one would pass for an answer to its next attempt. */
     final Set<String> abandoned = new HashSet<>();
+    /** Requests that had their last word here: it may be said again, and would pass for that of their next attempt. */
+    final Set<String> answered = new HashSet<>();
     boolean up;
     boolean suspect;
     double heardAt;
@@ -24,6 +26,12 @@
         dialledAt = now;
     }
 
+    /** Nothing of a request is out any more. */
+    void forget(String txn) {
+        abandoned.remove(txn);
+        answered.remove(txn);
+    }
+
     boolean idle() {
         return open.isEmpty() && probes.isEmpty();
     }
--- a/frontend/src/main/java/quincespar/routing/Links.java
+++ b/frontend/src/main/java/quincespar/routing/Links.java
@@ -91,7 +91,8 @@
     /**
      * The least used link that may carry this request, or a new one; null where the engine has enough of them.
      * An engine reads its connections in any order: sent on another than its cancel, a request given up there
-     * could come in before that cancel and be a second copy. So it stays on that link.
+     * could come in before that cancel and be a second copy. So it stays on that link. One that was answered there
+     * goes on another: engines have been seen to answer twice, and the second answer would end the next attempt.
      *
      * A link that ends takes all that is open on it along, and an answer that arrives spoilt ends it. So few share
      * one while others are to be had, and what may not run twice goes alone, as it would be lost; but only once an
@@ -104,7 +105,7 @@
             if (usable && l.abandoned.contains(txn)) {
                 return l;
             }
-            if (usable && !l.suspect && (best == null || shared(l) < shared(best))) {
+            if (usable && !l.suspect && !l.answered.contains(txn) && (best == null || shared(l) < shared(best))) {
                 best = l;
             }
         }
@@ -154,9 +155,9 @@
         turn.stop(new TimerKey.Idle(l.id));
         turn.stop(new TimerKey.Midway(l.id));
         for (Attempt a : List.copyOf(l.open.values())) {
-            boolean neverRan = a.write.withdraw();
-            attempts.end(a, neverRan ? Outcome.CONNECT_FAILED : a.givenUp != null ? a.givenUp
-                    : a.done() ? Outcome.ERROR : Outcome.RESET);
+            if (!attempts.withdraw(a, Outcome.CONNECT_FAILED)) {
+                attempts.end(a, a.givenUp != null ? a.givenUp : a.done() ? Outcome.ERROR : Outcome.RESET);
+            }
         }
         List.copyOf(l.probes).forEach(tag -> probed(tag, false, List.of()));
         fleet.tidy();
--- a/frontend/src/main/java/quincespar/routing/OpenRequest.java
+++ b/frontend/src/main/java/quincespar/routing/OpenRequest.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import quincespar.decision.Gateway.ClassSpec;
 import quincespar.decision.Gateway.Effect;
+import quincespar.decision.Gateway.Scope;
 
 /** A request that was taken, until it is answered and nothing of it is out. */
 final class OpenRequest {
@@ -34,6 +35,18 @@
         return spec.effect() == Effect.UNSAFE;
     }
 
+    /** Whether its client may be told that a repeat is harmless. */
+    boolean refusable() {
+        return spec.effect() == Effect.SAFE || spec.effect() == Effect.KEYED && spec.scope() == Scope.ALL || !mayHaveRun();
+    }
+
+    /** When a further attempt must have begun at the latest, as a repeat is discarded only within its class's window. */
+    double beginBy() {
+        return spec.effect() != Effect.KEYED ? Double.POSITIVE_INFINITY : attempts.stream()
+                .filter(a -> a.outcome == null || !a.outcome.neverRan).mapToDouble(a -> a.at + spec.repeatWindow())
+                .min().orElse(Double.POSITIVE_INFINITY);
+    }
+
     boolean running() {
         return attempts.stream().anyMatch(a -> a.outcome == null);
     }
--- a/frontend/src/main/java/quincespar/routing/Reducer.java
+++ b/frontend/src/main/java/quincespar/routing/Reducer.java
@@ -176,8 +176,8 @@
             requests.gone(x.connection());
         } else if (i instanceof Input.CallerUp x) {
             requests.callerUp(x.connection());
-        } else if (i instanceof Input.CallerStays x) { // taken anew: it has its time for a first word again
-            requests.callerUp(x.connection());
+        } else if (i instanceof Input.CallerStays x) {
+            requests.callerStays(x.connection());
         } else if (i instanceof Input.HealthAsked x) {
             turn.effect(new Effect.AnswerHealth(x.caller()));
         } else if (i instanceof Input.Changes x) {
@@ -190,6 +190,8 @@
             requests.places(x.callers());
         } else if (i instanceof Input.EndsAt x) {
             requests.endsAt(x.time());
+        } else if (i instanceof Input.TurnsAway) {
+            requests.turnsAway();
         } else if (i instanceof Input.Hangup) {
             roster.hangup();
         } else if (i instanceof Input.Reconfigured x) {
@@ -236,6 +238,8 @@
             turn.event(new Gateway.Timer(k.token()));
         } else if (key instanceof TimerKey.Attempt k) {
             attempts.due(requests.attempt(k.key()));
+        } else if (key instanceof TimerKey.Begin k) {
+            attempts.beginDue(requests.attempt(k.key()));
         } else if (key instanceof TimerKey.GiveUp k) {
             attempts.cancelDue(requests.attempt(k.key()));
         } else if (key instanceof TimerKey.Request k) {
--- a/frontend/src/main/java/quincespar/routing/Requests.java
+++ b/frontend/src/main/java/quincespar/routing/Requests.java
@@ -23,7 +23,9 @@
     private final Bounds bounds;
     private final Ledger ledger;
     private final Returning returning;
+    private Attempts attempts;
     private int places;
+    private boolean turnsAway;
     /** When this process ends, whatever is open then. */
     private double endsAt = Double.POSITIVE_INFINITY;
 
@@ -35,6 +37,10 @@
         places = bounds.callers();
     }
 
+    void with(Attempts ofThese) {
+        attempts = ofThese;
+    }
+
     OpenRequest get(long id) {
         return byId.get(id);
     }
@@ -53,6 +59,10 @@
         places = most;
     }
 
+    void turnsAway() {
+        turnsAway = true;
+    }
+
     void endsAt(double time) {
         endsAt = time;
         callers.values().forEach(r -> turn.timer(new TimerKey.Request(r.id), Math.min(r.last, endsAt) - turn.now));
@@ -96,6 +106,12 @@
         }
     }
 
+    /** It was to be closed and was not: taken anew, with its time for a first word; the place is another's to make. */
+    void callerStays(long connection) {
+        fronts.up(connection);
+        turn.timer(new TimerKey.Front(connection), bounds.firstWordMs());
+    }
+
     void closeCaller(long connection, String why) {
         turn.effect(new Effect.CloseCaller(connection, why));
         gone(connection);
@@ -116,7 +132,7 @@
             tell(x.caller(), q.cls(), new Reply.Failed());
             return;
         }
-        if (callers.size() >= bounds.requests()) { // before it is known to anyone: it never ran
+        if (turnsAway || callers.size() >= bounds.requests()) { // before it is known to anyone: it never ran
             tell(x.caller(), q.cls(), new Reply.Refused(0));
             return;
         }
@@ -187,15 +203,15 @@
             turn.timer(new TimerKey.Front(r.caller.connection()), bounds.idleClientMs());
         }
         turn.stop(new TimerKey.Request(r.id));
+        attempts.withdraw(r);
         forget(r);
     }
 
     void forget(OpenRequest r) {
-        if (r.over && !r.running()) {
-            byId.remove(r.id);
+        if (r.over && !r.running() && byId.remove(r.id) != null) {
             names.remove(r.query.txn(), r);
             returning.ended(r);
-            r.attempts.stream().filter(a -> a.link != null).forEach(a -> a.link.abandoned.remove(r.query.txn()));
+            r.attempts.stream().filter(a -> a.link != null).forEach(a -> a.link.forget(r.query.txn()));
         }
     }
 }
--- a/frontend/src/main/java/quincespar/routing/Roster.java
+++ b/frontend/src/main/java/quincespar/routing/Roster.java
@@ -120,11 +120,7 @@
             } else if (!e.ready() && !l.up) {
                 links.drop(l, "its engine takes nothing new"); // a connect must not outlive the grace
             } else if (!e.ready()) {
-                for (Attempt a : List.copyOf(l.open.values())) {
-                    if (a.write.withdraw()) { // still queued: it must not go out late
-                        attempts.end(a, Outcome.CONNECT_FAILED);
-                    }
-                }
+                List.copyOf(l.open.values()).forEach(a -> attempts.withdraw(a, Outcome.CONNECT_FAILED));
                 links.rest(l);
             }
         }
--- a/frontend/src/main/java/quincespar/routing/TimerKey.java
+++ b/frontend/src/main/java/quincespar/routing/TimerKey.java
@@ -20,6 +20,9 @@
     /** An attempt has had its time. */
     record Attempt(AttemptKey key) implements TimerKey { }
 
+    /** An attempt ought to have begun by now. */
+    record Begin(AttemptKey key) implements TimerKey { }
+
     /** A cancel ought to be written by now. */
     record GiveUp(AttemptKey key) implements TimerKey { }
 
--- a/frontend/src/test/java/quincespar/routing/ReducerTest.java
+++ b/frontend/src/test/java/quincespar/routing/ReducerTest.java
@@ -223,6 +223,18 @@
         assertThat(outcome()).isEqualTo(Outcome.CONNECT_FAILED);
     }
 
+    /** Asked to make room once more by a connection that can't be closed, the loop and the reducer would go round for good. */
+    @Test
+    void aConnectionThatStaysMakesNoRoomForItself() {
+        for (int i = 1; i <= 4; i++) { // one more than there is room for
+            step(new Input.CallerUp(i), new Input.Asked(new Caller(i, 1), new Query("00000000000000a" + i, 0, 0, 4000, false, 10, 0, 0,
+                    new byte[0]), now));
+        }
+        int closes = of(Effect.CloseCaller.class, effects).size();
+        step(new Input.CallerStays(4));
+        assertThat(of(Effect.CloseCaller.class, effects)).hasSize(closes);
+    }
+
     @Test
     void lateBytesOfAnEndedAttemptAreDropped() {
         Effect.Send s = sent(0);
