End clients' connections one by one at a stop, and refuse what comes after it

Read: after SIGTERM alone, FrontEnd.finishing waited until nothing was open and then ended all connections at once (FrontEnd.stop). One request at an engine that hangs kept the others' connections open for its whole deadline; what came on them meanwhile was taken with its full time, though SIGKILL may come 3.7 s after SIGTERM; a request read between the last look and the end was never answered; one half here was cut. Both stops, alone and beside another process, go one way now (FrontEnd.moveSome): from 1.1 s on each connection ends at a moment when nothing is open, half here, unread or unwritten there, and what still comes behind an open request is refused, which is true as it never ran.

EndingsTest: aClientThatRestsIsEndedByTheStopWhileAnotherWaitsForAnEngine, whatComesAfterTheStopBehindARequestThatIsOutIsRefusedAndNotSentOn, aRequestThatIsHalfHereAtTheStopIsReadToItsEndAndAnswered: red with the old end, green with this.

--- a/frontend/src/main/java/quincespar/program/FrontEnd.java
+++ b/frontend/src/main/java/quincespar/program/FrontEnd.java
@@ -48,8 +48,10 @@
     /** After word to stop, connections come for up to 0.4 s and requests on open ones for 0.2 s more. */
     private static final double LEAVING_MS = 800;
     private static final double FLUSH_MS = 300;
-    /** Beside a new process: so long after the word to stop the system's own end follows, deadlines or not. */
-    private static final double LONGEST_YIELD_MS = 5000, END_MS = 700, YIELD_LOOK_MS = 25;
+    /** So long after the word to stop the system's own end follows, deadlines or not: alone, and beside a new process. */
+    private static final double LONGEST_LEAVE_MS = 3000, LONGEST_YIELD_MS = 5000, END_MS = 700;
+    /** How often clients' connections are looked at for a moment in which they can end. */
+    private static final double MOVE_LOOK_MS = 25;
     /**
      * What is open is answered so long before the system's own end: on a busy machine the word to stop may come 0.4 s
      * late, and the process may be stopped for as long once more before its last clients have moved.
@@ -271,39 +273,44 @@
         siblings.leaves();
         stands(Standing.LEAVING);
         if (lifecycle.phase() == Phase.YIELDING) {
-            move();
+            log.info("{}: another process serves at this address, clients are moved to it", configuration.name());
+            double endsAt = killedAt(LONGEST_YIELD_MS) - YIELD_MARGIN_MS;
+            inputs.add(new Input.EndsAt(endsAt));
+            listener.close(() -> moveSome(endsAt + LAST_LOOKS_MS));
         } else if (lifecycle.phase() == Phase.LEAVING) {
+            double until = killedAt(LONGEST_LEAVE_MS);
             front.leave();
             timers.after(LEAVING_MS, () -> {
                 listener.close(() -> lifecycle.enter(Phase.SETTLING));
-                timers.after(SETTLE_MS, () -> clientLoop.afterPass(this::finishing));
+                timers.after(SETTLE_MS, () -> {
+                    inputs.add(new Input.TurnsAway());
+                    clientLoop.afterPass(() -> moveSome(until));
+                });
             });
         }
         lifecycle.await(Phase.STOPPED);
         log.info("{}: stopped: {}", configuration.name(), report());
     }
 
-    /**
-     * Another process takes the clients: no new ones here, those that are here move at a moment when nothing of theirs
-     * is open, and what they ask until then is served as ever, within the time that there is.
-     */
-    private void move() {
-        log.info("{}: another process serves at this address, clients are moved to it", configuration.name());
+    /** The system's own end may follow from that time on. */
+    private double killedAt(double longestMs) {
         double longest = configuration.site().module().classes().stream().mapToDouble(c -> c.deadline()).max().orElse(0);
-        double said = clock.now() - standstill.lateness(clock.now()); // the system's own end follows by that time
-        double endsAt = said + Math.min(longest, LONGEST_YIELD_MS) + END_MS - YIELD_MARGIN_MS;
-        inputs.add(new Input.EndsAt(endsAt));
-        listener.close(() -> moveSome(endsAt));
+        return clock.now() - standstill.lateness(clock.now()) + Math.min(longest, longestMs) + END_MS;
     }
 
-    private void moveSome(double endsAt) {
+    /**
+     * Ends each client's connection at a moment when nothing of its client's is open, half there or unread, so that the
+     * client moves with its next request: the one way in which they end at a stop, beside another process or alone. What
+     * has had no such moment by the end is left to {@link #stop}.
+     */
+    private void moveSome(double until) {
         front.move();
         if (front.connections() == 0) {
             finishing();
-        } else if (clock.now() >= endsAt + LAST_LOOKS_MS) {
+        } else if (clock.now() >= until) {
             clientLoop.afterPass(this::finishing); // after a stop of the process requests may lie unread
         } else {
-            timers.after(YIELD_LOOK_MS, () -> moveSome(endsAt));
+            timers.after(MOVE_LOOK_MS, () -> moveSome(until));
         }
     }
 
--- /dev/null
+++ b/frontend/src/test/java/quincespar/program/EndingsTest.java
@@ -0,0 +1,369 @@
+package quincespar.program;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import quincespar.protocol.thrift.FrontCodec;
+import quincespar.settings.ConfReader;
+
+/**
+ * What is still owed at the instant in which something ends, on real connections: each test has its peers bring about the
+ * bad order every time. The rows are in docs/design/endings.md.
+ */
+@Timeout(60)
+class EndingsTest {
+    private static final String LOAD = "{\"name\":\"load\",\"slo\":2000,\"hardLimit\":30000,\"effect\":\"unsafe\"}";
+    private static final String LOOKUP = "{\"name\":\"lookup\",\"slo\":2000,\"hardLimit\":30000,\"effect\":\"safe\"}";
+    /** Connections that only a stop ends. */
+    private static final String PATIENT = "clients {\n idle 3600s\n first-word 3600s\n}\n";
+
+    @TempDir
+    private Path folder;
+    private final List<AutoCloseable> peers = new ArrayList<>();
+    private Peers.Engine engine;
+    private Peers.Changes changes;
+    private int port;
+    private FrontEnd frontEnd;
+    private CompletableFuture<Void> running;
+
+    @BeforeEach
+    void peers() throws IOException {
+        engine = new Peers.Engine();
+        changes = new Peers.Changes();
+        port = Peers.freePort();
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        for (AutoCloseable p : peers) {
+            p.close();
+        }
+        Peers.beside(frontEnd::leave).join();
+        running.join();
+    }
+
+    /** A front end before one engine. */
+    private void start(String conf, int engineAt, String limits, String... classes) throws Exception {
+        Path file = Files.writeString(folder.resolve("config.json"), """
+            {"name":"n1","listen":"127.0.0.1:%d","seed":"1","limits":{"sockets":64},"changelog":"127.0.0.1:%d",
+             "known":{"seq":1,"results":[{"seq":1,"fleet":{"revision":1,"complete":true,"members":[%s]}}]},
+             "settings":{"tick":5,"limits":{%s,"maxAttempts":3,"maxStreams":100,"connIdle":1000},
+             "projects":[{"name":"acme","quotaPerS":50,"share":1}],"requestClasses":[%s]}}
+            """.formatted(port, changes.server.getLocalPort(), member("s-1", "up", engineAt), limits,
+                String.join(",", classes)));
+        frontEnd = new FrontEnd(Map.of("GW_CONFIG", file.toString()), ConfReader.read("f", conf),
+                Logs.start(ConfReader.read("f", conf)));
+        running = Peers.beside(frontEnd::run);
+        Peers.untilHealthy(port);
+    }
+
+    private static String member(String id, String phase, int at) {
+        return "{\"id\":\"%s\",\"host_port\":\"127.0.0.1:%d\",\"phase\":\"%s\",\"size\":4}".formatted(id, at, phase);
+    }
+
+    private Peers.Client client() throws IOException {
+        Peers.Client c = new Peers.Client(port);
+        peers.add(c);
+        return c;
+    }
+
+    private static Map<String, String> request(String verb, int number) {
+        Map<String, String> fields = new HashMap<>(Peers.fields(verb, String.format("%016x", number)));
+        fields.put("limit", "20000");
+        return fields;
+    }
+
+    private static byte[] frame(int seqid, Map<String, String> fields) {
+        return FrontCodec.call(seqid, fields, "SELECT 1 FROM sales_3.t".getBytes(java.nio.charset.StandardCharsets.UTF_8));
+    }
+
+    private static void until(Peers.Client watch, String counter, String value) throws IOException {
+        while (!value.equals(watch.counters().get(counter))) {
+            Peers.goOnWaiting();
+        }
+    }
+
+    private static void done(Peers.Engine.Command c) {
+        c.answer(c.id(), "DONE", "count=1", "row\ta\tb\n");
+    }
+
+    /** The stop must not wait for the engine with all: who rests is told, and moves. */
+    @Test
+    void aClientThatRestsIsEndedByTheStopWhileAnotherWaitsForAnEngine() throws Exception {
+        start(PATIENT, engine.server.getLocalPort(), "\"cancelling\":true", LOAD);
+        Peers.Client waits = client();
+        Peers.Client rests = client();
+        assertThat(rests.healthy()).isTrue();
+        waits.call(1, request("load", 1));
+        Peers.Engine.Command out = engine.next("serve");
+        CompletableFuture<Void> leaving = Peers.beside(frontEnd::leave);
+        assertThat(rests.untilEnd()).isTrue();
+        assertThat(leaving).isNotDone();
+        done(out);
+        assertThat(waits.answer()).isEqualTo(Peers.Kind.SERVED);
+        assertThat(waits.untilEnd()).isTrue();
+        leaving.join();
+    }
+
+    /** The system's end may find it unanswered, and then it is lost: it is refused, which is true as it never ran. */
+    @Test
+    void whatComesAfterTheStopBehindARequestThatIsOutIsRefusedAndNotSentOn() throws Exception {
+        start(PATIENT, engine.server.getLocalPort(), "\"cancelling\":true", LOAD);
+        Peers.Client waits = client();
+        Peers.Client rests = client();
+        assertThat(rests.healthy()).isTrue();
+        waits.call(1, request("load", 1));
+        Peers.Engine.Command out = engine.next("serve");
+        CompletableFuture<Void> leaving = Peers.beside(frontEnd::leave);
+        assertThat(rests.untilEnd()).isTrue();
+        waits.call(2, request("load", 2));
+        assertThat(waits.answer()).isEqualTo(Peers.Kind.REFUSED);
+        done(out);
+        assertThat(waits.answer()).isEqualTo(Peers.Kind.SERVED);
+        leaving.join();
+        assertThat(engine.commands).noneMatch(c -> c.words().get(0).equals("serve"));
+    }
+
+    /** Its last byte comes after the word to stop: it is read and answered, not met by a close. */
+    @Test
+    void aRequestThatIsHalfHereAtTheStopIsReadToItsEndAndAnswered() throws Exception {
+        start(PATIENT, engine.server.getLocalPort(), "\"cancelling\":true", LOAD);
+        Peers.Client slow = client();
+        Peers.Client rests = client();
+        assertThat(rests.healthy()).isTrue();
+        byte[] half = halfBehindAServedRequest(slow);
+        CompletableFuture<Void> leaving = Peers.beside(frontEnd::leave);
+        assertThat(rests.untilEnd()).isTrue();
+        slow.raw(half);
+        assertThat(slow.answer()).isEqualTo(Peers.Kind.REFUSED);
+        assertThat(slow.untilEnd()).isTrue();
+        leaving.join();
+    }
+
+    /** Has a request served with the first half of the next one behind it, in one write; answers the other half. */
+    private byte[] halfBehindAServedRequest(Peers.Client c) throws Exception {
+        byte[] first = frame(1, request("load", 1));
+        byte[] second = frame(2, request("load", 2));
+        byte[] both = Arrays.copyOf(first, first.length + 9);
+        System.arraycopy(second, 0, both, first.length, 9);
+        c.raw(both);
+        done(engine.next("serve"));
+        assertThat(c.answer()).isEqualTo(Peers.Kind.SERVED);
+        return Arrays.copyOfRange(second, 9, second.length);
+    }
+
+    /** The other connection had its last word later and goes as idle, so this one's time was over before that. */
+    @Test
+    void aConnectionWithARequestHalfHereIsNotClosedAsIdle() throws Exception {
+        start("clients {\n idle 100ms\n first-word 3600s\n}\n", engine.server.getLocalPort(), "\"cancelling\":true", LOAD);
+        Peers.Client slow = client();
+        byte[] half = halfBehindAServedRequest(slow);
+        Peers.Client later = client();
+        later.call(1, request("load", 3));
+        done(engine.next("serve"));
+        assertThat(later.answer()).isEqualTo(Peers.Kind.SERVED);
+        assertThat(later.untilEnd()).isTrue();
+        slow.raw(half);
+        done(engine.next("serve"));
+        assertThat(slow.answer()).isEqualTo(Peers.Kind.SERVED);
+    }
+
+    /** What came whole before it is owed an answer all the same, though the connection is to end. */
+    @Test
+    void nonsenseBehindARequestThatIsOutEndsTheConnectionOnceThatIsAnswered() throws Exception {
+        start(PATIENT, engine.server.getLocalPort(), "\"cancelling\":true", LOAD);
+        for (byte[] nonsense : List.of(new byte[] {-1, -1, -1, -1}, new byte[] {0, 0, 0, 4, 1, 2, 3, 4},
+                frame(1, request("load", 2)), frame(2, Map.of("verb", "odd")))) {
+            Peers.Client c = client();
+            c.call(1, request("load", 1));
+            Peers.Engine.Command out = engine.next("serve");
+            c.raw(nonsense);
+            assertThat(c.answer()).isEqualTo(Peers.Kind.EXCEPTION);
+            done(out);
+            assertThat(c.answer()).isEqualTo(Peers.Kind.SERVED);
+            assertThat(c.untilEnd()).isTrue();
+        }
+    }
+
+    /** One that floods on after that is closed at once, and others are served meanwhile. */
+    @Test
+    void aClientThatGoesOnAfterNonsenseIsClosedWhateverIsOpen() throws Exception {
+        start(PATIENT, engine.server.getLocalPort(), "\"cancelling\":true", LOAD);
+        Peers.Client c = client();
+        c.call(1, request("load", 1));
+        Peers.Engine.Command out = engine.next("serve");
+        c.raw(new byte[] {-1, -1, -1, -1});
+        assertThat(c.answer()).isEqualTo(Peers.Kind.EXCEPTION);
+        try {
+            c.raw(new byte[1 << 20]);
+            assertThat(c.untilEnd()).isTrue();
+        } catch (IOException reset) {
+            assertThat(reset).isInstanceOf(java.net.SocketException.class);
+        }
+        assertThat(engine.next("cancel").id()).isEqualTo(out.id()); // its client is gone
+        Peers.Client other = client();
+        other.call(1, request("load", 3));
+        done(engine.next("serve"));
+        assertThat(other.answer()).isEqualTo(Peers.Kind.SERVED);
+    }
+
+    /** Nobody waits for it any more, whether the site lets attempts be cancelled or not. */
+    @Test
+    void whatWaitsForAConnectionIsNotSentOnceItsClientHasLeft() throws Exception {
+        Peers.HeldEngine held = new Peers.HeldEngine();
+        peers.add(held);
+        start(PATIENT, held.server.getLocalPort(), "\"cancelling\":false,\"connectTimeout\":30000", LOAD);
+        Peers.Client watch = client();
+        Peers.Client leaves = client();
+        leaves.call(1, request("load", 1));
+        until(watch, "engines.connected", "1");
+        leaves.close();
+        until(watch, "requests.open", "0");
+        held.release();
+        isIdleUnasked(watch, held);
+    }
+
+    /** Engines discard repeats within the window only: a connection that comes up after it must not carry one. */
+    @Test
+    void aRepeatThatWaitsForAConnectionBeyondItsWindowIsNotSent() throws Exception {
+        Peers.HeldEngine held = new Peers.HeldEngine();
+        peers.add(held);
+        long windowMs = 2000;
+        start(PATIENT, engine.server.getLocalPort(), "\"cancelling\":true,\"connectTimeout\":30000",
+                LOAD.replace("\"unsafe\"", "\"keyed\",\"keyScope\":\"all\",\"repeatWindow\":" + windowMs));
+        Peers.Client watch = client();
+        Peers.Client c = client();
+        long from = System.nanoTime();
+        c.call(1, request("load", 1));
+        Peers.Engine.Command first = engine.next("serve");
+        changes.answers.add(news(2, member("s-1", "draining", engine.server.getLocalPort()),
+                member("s-2", "up", held.server.getLocalPort())));
+        until(watch, "held.engines", "2");
+        first.answer(first.id(), "BROKE", "-", "");
+        until(watch, "engines.connected", "2"); // the repeat waits for its connection
+        while (System.nanoTime() - from < TimeUnit.MILLISECONDS.toNanos(windowMs + 100)) {
+            Peers.goOnWaiting();
+        }
+        held.release();
+        isIdleUnasked(watch, held);
+        assertThat(c.answer()).isEqualTo(Peers.Kind.REFUSED); // by the scope a repeat is harmless
+    }
+
+    /** Waits until the front end has no connection to an engine any more, and nothing was asked on this one's. */
+    private static void isIdleUnasked(Peers.Client watch, Peers.HeldEngine held) throws IOException {
+        while (!watch.counters().get("engines.connected").equals("0")) {
+            assertThat(held.heard()).doesNotContain("serve");
+        }
+        assertThat(held.heard()).doesNotContain("serve");
+    }
+
+    private static String news(int seq, String... members) {
+        return "{\"seq\":%d,\"results\":[{\"seq\":%d,\"fleet\":{\"revision\":%d,\"complete\":false,\"members\":[%s]}}]}"
+                .formatted(seq, seq, seq, String.join(",", members));
+    }
+
+    /** Word of a drain between the choice of the engine and the first byte. */
+    @Test
+    void whatWaitsForAConnectionToAnEngineThatBeginsToDrainGoesElsewhere() throws Exception {
+        Peers.HeldEngine held = new Peers.HeldEngine();
+        peers.add(held);
+        start(PATIENT, held.server.getLocalPort(), "\"cancelling\":true,\"connectTimeout\":30000", LOAD);
+        Peers.Client watch = client();
+        Peers.Client c = client();
+        c.call(1, request("load", 1));
+        until(watch, "engines.connected", "1");
+        changes.answers.add(news(2, member("s-1", "draining", held.server.getLocalPort()),
+                member("s-2", "up", engine.server.getLocalPort())));
+        done(engine.next("serve"));
+        assertThat(c.answer()).isEqualTo(Peers.Kind.SERVED);
+        held.release();
+        isIdleUnasked(watch, held);
+    }
+
+    /** An engine may say its last word twice: the second one must not end the next attempt, which still runs. */
+    @Test
+    void aSecondLastWordDoesNotEndTheNextAttempt() throws Exception {
+        start(PATIENT, engine.server.getLocalPort(), "\"cancelling\":true", LOAD);
+        Peers.Client c = client();
+        c.call(1, request("load", 1));
+        Peers.Engine.Command first = engine.next("serve");
+        first.answer(first.id(), "WAIT", "-", "");
+        Peers.Engine.Command second = engine.next("serve");
+        first.answer(first.id(), "WAIT", "-", "");
+        Peers.Client other = client();
+        other.call(1, request("load", 2)); // shares the first one's connection, so its answer comes behind that word
+        Peers.Engine.Command behind = engine.next("serve");
+        assertThat(behind.id()).as("nothing is sent twice").isNotEqualTo(first.id());
+        first.answer(behind.id(), "BROKE", "-", "");
+        assertThat(other.answer()).isNotEqualTo(Peers.Kind.SERVED);
+        done(second);
+        assertThat(c.answer()).isEqualTo(Peers.Kind.SERVED);
+        assertThat(engine.commands).noneMatch(x -> x.words().get(0).equals("serve"));
+    }
+
+    /** It may have run, so it is never sent again, and its client is not told that a repeat is harmless. */
+    @Test
+    void aLoadWhoseConnectionEndsUnderItIsFailedAndNotSentAgain() throws Exception {
+        start(PATIENT, engine.server.getLocalPort(), "\"cancelling\":true", LOAD);
+        Peers.Client c = client();
+        c.call(1, request("load", 1));
+        engine.next("serve").from().close();
+        assertThat(c.answer()).isEqualTo(Peers.Kind.FAILED);
+        c.call(2, request("load", 2));
+        Peers.Engine.Command next = engine.next("serve");
+        assertThat(next.id()).isEqualTo(request("load", 2).get("txn"));
+        done(next);
+        assertThat(c.answer()).isEqualTo(Peers.Kind.SERVED);
+    }
+
+    @Test
+    void allThatAClientHasOpenIsCancelledWhenItLeaves() throws Exception {
+        start(PATIENT, engine.server.getLocalPort(), "\"cancelling\":true", LOOKUP);
+        Peers.Client c = client();
+        Set<String> out = new HashSet<>();
+        for (int i = 1; i <= 3; i++) {
+            c.call(i, request("lookup", i));
+            out.add(engine.next("serve").id());
+        }
+        c.close();
+        for (int i = 0; i < 3; i++) {
+            assertThat(out.remove(engine.next("cancel").id())).isTrue();
+        }
+    }
+
+    /** A watch that goes silent is replaced, and what it did not tell is heard from the next one. */
+    @Test
+    void aWatchThatFallsSilentIsReplacedAndTheDrainIsHeard() throws Exception {
+        Peers.Engine old = new Peers.Engine();
+        start(PATIENT + "change-log {\n wait 200ms\n slack 100ms\n}\n", old.server.getLocalPort(), "\"cancelling\":true", LOAD);
+        Peers.Client c = client();
+        assertThat(changes.questions.take()).startsWith("GET /changes?since=1&");
+        assertThat(changes.questions.take()).startsWith("GET /changes?since=1&"); // the first is never answered
+        String drain = news(2, member("s-1", "draining", old.server.getLocalPort()),
+                member("s-2", "up", engine.server.getLocalPort()));
+        for (int i = 0; i < 3; i++) {
+            changes.answers.add(drain); // the silent ones answer too, when nobody asks them any more
+        }
+        until(c, "held.engines", "2");
+        c.call(1, request("load", 1));
+        done(engine.next("serve"));
+        assertThat(c.answer()).isEqualTo(Peers.Kind.SERVED);
+        assertThat(old.commands).noneMatch(x -> x.words().get(0).equals("serve"));
+    }
+}
