--- a/frontend/src/test/java/quincespar/program/Peers.java
+++ b/frontend/src/test/java/quincespar/program/Peers.java
@@ -13,6 +13,8 @@
 import java.net.SocketException;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -111,6 +113,17 @@
         }, r -> new Thread(r).start());
     }
 
+    /** The deploy file's command line, from the root of the repository, with a second address of its own; {@code first} comes before it. */
+    static Process run(String first, Path configuration, int admin, Path tmp, Path log) throws IOException {
+        Path root = Path.of("").toAbsolutePath().getParent();
+        String run = Files.readAllLines(root.resolve("deploy/balancer.toml")).stream().filter(l -> l.startsWith("run = "))
+                .map(l -> l.substring(l.indexOf('"') + 1, l.lastIndexOf('"'))).findFirst().orElseThrow();
+        ProcessBuilder b = new ProcessBuilder("/bin/sh", "-c", first + run).directory(root.toFile());
+        b.environment().putAll(Map.of("GW_CONFIG", configuration.toString(), "GW_ADMIN_ADDR", "127.0.0.1:" + admin, "TMPDIR",
+                tmp.toString()));
+        return b.redirectErrorStream(true).redirectOutput(log.toFile()).start();
+    }
+
     /** SIGTERM. */
     static void term(Process p) {
         p.destroy();
--- a/frontend/src/test/java/quincespar/program/UpgradeIT.java
+++ b/frontend/src/test/java/quincespar/program/UpgradeIT.java
@@ -3,7 +3,6 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.EOFException;
-import java.io.File;
 import java.io.IOException;
 import java.net.SocketException;
 import java.nio.ByteBuffer;
@@ -76,16 +75,8 @@
         pool.shutdownNow();
     }
 
-    /** The deploy file's command line, from the root of the repository, with a second address of its own. */
     private Process start(int admin) throws IOException {
-        Path root = Path.of("").toAbsolutePath().getParent();
-        String run = Files.readAllLines(root.resolve("deploy/balancer.toml")).stream().filter(l -> l.startsWith("run = "))
-                .map(l -> l.substring(l.indexOf('"') + 1, l.lastIndexOf('"'))).findFirst().orElseThrow();
-        ProcessBuilder b = new ProcessBuilder("/bin/sh", "-c", run.replace("exec env", "exec env")).directory(root.toFile());
-        b.environment().putAll(Map.of("GW_CONFIG", file.toString(), "GW_ADMIN_ADDR", "127.0.0.1:" + admin, "TMPDIR",
-                folder.resolve("tmp").toString()));
-        File log = folder.resolve("log-" + started.size()).toFile();
-        Process p = b.redirectErrorStream(true).redirectOutput(log).start();
+        Process p = Peers.run("", file, admin, folder.resolve("tmp"), folder.resolve("log-" + started.size()));
         started.add(p);
         return p;
     }
