Name the lock files of processes by their clients' address

Read: Siblings.file named its locks by number alone, so front ends of other addresses that use one folder, those of another customer for one, took each other for a new version: at SIGTERM one would have closed its listener at once and moved its clients to nobody. The platform gives each a folder of its own, so none was seen.

--- a/frontend/src/main/java/quincespar/program/FrontEnd.java
+++ b/frontend/src/main/java/quincespar/program/FrontEnd.java
@@ -118,11 +118,11 @@
             throws IOException {
         this.environment = environment;
         this.logs = logs;
-        siblings = Siblings.join(environment);
         ConfigurationCheck.Good read = Configuration.read(environment, null);
         inForce = read.document();
         Configuration c = read.configuration();
         configuration = c;
+        siblings = Siblings.join(environment, c.listen());
         bounds = c.bounds(settings);
         String folder = settings.word(Keyword.CAPTURE_FOLDER);
         capturing = folder.isEmpty() ? null : Capturing.into(Path.of(folder), settings, c.name(), clock.now(), c.seed(),
