Pass a request's idempotency key on to engines

Lines at fault: ThriftFront.query read no such field and EngineCodec.serve wrote none. The key is taken as it stands, bounded, and goes with each attempt; one that would be read as another field is unusable.

EndingsTest.aRepeatCarriesTheIdempotencyKeyOfItsRequest.

--- a/frontend/src/main/java/quincespar/program/Warmup.java
+++ b/frontend/src/main/java/quincespar/program/Warmup.java
@@ -85,7 +85,7 @@
             if (effect instanceof Effect.OpenLink e) {
                 inputs.add(new Input.LinkUp(e.link()));
             } else if (effect instanceof Effect.Send e) {
-                byte[] command = EngineCodec.serve(e.txn(), e.queue(), e.budgetMs(), e.statement());
+                byte[] command = EngineCodec.serve(e.txn(), e.queue(), e.idempotencyKey(), e.budgetMs(), e.statement());
                 new RespDecoder().feed(command, command.length, EngineCodec::answer);
                 answers.add(new Due(now + SERVICE_MS, new Input.Said(e.link(), new EngineNews.Done(e.txn(), 2,
                         STATEMENT, List.of()))));
--- a/frontend/src/main/java/quincespar/program/clients/ThriftFront.java
+++ b/frontend/src/main/java/quincespar/program/clients/ThriftFront.java
@@ -38,6 +38,8 @@
     private static final Pattern TXN = Pattern.compile("[0-9a-f]{16}");
     /** Up to ten million: more milliseconds or megabytes no request has. */
     private static final Pattern FIGURE = Pattern.compile("[0-9]{1,7}(\\.[0-9]{1,9})?");
+    /** An idempotency key as it fits among an engine's fields, where a comma ends it. */
+    private static final Pattern UNIQUE = Pattern.compile("[^,\\p{Cntrl}]{0,256}");
     /** Times the class's deadline: usual clients have been seen to wait some milliseconds longer than that. */
     private static final double LONGEST = 2;
     private static final int MOST_OPEN = 32;
@@ -342,8 +344,12 @@
             throw new MalformedException("no statement");
         }
         Utf8.text(c.body()); // a statement that is no text can't be used
+        String unique = f.getOrDefault("unique", "");
+        if (!UNIQUE.matcher(unique).matches()) {
+            throw new MalformedException("field unique can't be passed on");
+        }
         return new Query(txn, cls, tenant, limit, "1".equals(second), number(f, "cpu"), number(f, "heap_mb"),
-                StatementScan.group(c.body()), c.body());
+                StatementScan.group(c.body()), c.body(), unique);
     }
 
     /** A figure that must be there: engines can't use a request without. Plain digits, as nothing else is sent. */
--- a/frontend/src/main/java/quincespar/program/engines/EngineLinks.java
+++ b/frontend/src/main/java/quincespar/program/engines/EngineLinks.java
@@ -68,7 +68,7 @@
     }
 
     public void send(Effect.Send e) {
-        send(e.link(), EngineCodec.serve(e.txn(), e.queue(), e.budgetMs(), e.statement()), e.write(),
+        send(e.link(), EngineCodec.serve(e.txn(), e.queue(), e.idempotencyKey(), e.budgetMs(), e.statement()), e.write(),
                 () -> post.accept(new Input.SendWritten(e.key())));
     }
 
--- a/frontend/src/main/java/quincespar/protocol/resp/EngineCodec.java
+++ b/frontend/src/main/java/quincespar/protocol/resp/EngineCodec.java
@@ -27,9 +27,10 @@
         }
     }
 
-    /** The command that starts an attempt. */
-    public static byte[] serve(String id, String queue, long budget, byte[] body) {
-        return command(ascii("serve"), ascii(id), utf8("queue=" + queue + ",budget=" + budget), body);
+    /** The command that starts an attempt; an empty idempotency key is none. */
+    public static byte[] serve(String id, String queue, String idempotencyKey, long budget, byte[] body) {
+        String unique = idempotencyKey.isEmpty() ? "" : ",uniq=" + idempotencyKey;
+        return command(ascii("serve"), ascii(id), utf8("queue=" + queue + ",budget=" + budget + unique), body);
     }
 
     /** Gives a request up. */
--- a/frontend/src/main/java/quincespar/routing/Attempts.java
+++ b/frontend/src/main/java/quincespar/routing/Attempts.java
@@ -108,7 +108,7 @@
         }
         Query q = a.request.query;
         tally.engine(a.link.engine.listed.id(), "sent");
-        turn.effect(new Effect.Send(a.link.id, a.key, q.txn(), a.request.spec.name(),
+        turn.effect(new Effect.Send(a.link.id, a.key, q.txn(), a.request.spec.name(), q.idempotencyKey(),
                 Math.max(1, Math.round(a.until - turn.now)), q.statement(), a.write));
     }
 
--- a/frontend/src/main/java/quincespar/routing/Effect.java
+++ b/frontend/src/main/java/quincespar/routing/Effect.java
@@ -22,7 +22,7 @@
     record CloseLink(long link, String why) implements Effect { }
 
     /** Send an attempt, if {@code write} was not withdrawn when its first byte would go out. */
-    record Send(long link, AttemptKey key, String txn, String queue, long budgetMs, byte[] statement,
+    record Send(long link, AttemptKey key, String txn, String queue, String idempotencyKey, long budgetMs, byte[] statement,
             WithdrawableWrite write) implements Effect { }
 
     /** Give an attempt up, and say when that is written. */
--- a/frontend/src/test/java/quincespar/program/EndingsTest.java
+++ b/frontend/src/test/java/quincespar/program/EndingsTest.java
@@ -278,6 +278,27 @@
                 .formatted(seq, seq, seq, String.join(",", members));
     }
 
+    /** Engines know a repeat by its client's idempotency key: without it each attempt would be a request of its own. */
+    @Test
+    void aRepeatCarriesTheIdempotencyKeyOfItsRequest() throws Exception {
+        start(PATIENT, engine.server.getLocalPort(), "\"cancelling\":true",
+                LOAD.replace("\"unsafe\"", "\"keyed\",\"keyScope\":\"all\",\"repeatWindow\":20000"));
+        Peers.Client c = client();
+        Map<String, String> request = request("load", 1);
+        request.put("unique", "8f3a=90/b1");
+        c.call(1, request);
+        Peers.Engine.Command first = engine.next("serve");
+        assertThat(first.words().get(2)).matches("queue=load,budget=\\d+,uniq=8f3a=90/b1");
+        first.answer(first.id(), "BROKE", "-", "");
+        Peers.Engine.Command again = engine.next("serve");
+        assertThat(again.words().get(2)).matches("queue=load,budget=\\d+,uniq=8f3a=90/b1");
+        done(again);
+        assertThat(c.answer()).isEqualTo(Peers.Kind.SERVED);
+        request.put("unique", "a,budget=1"); // it would be read as another field
+        c.call(2, request);
+        assertThat(c.answer()).isEqualTo(Peers.Kind.EXCEPTION);
+    }
+
     /** Word of a drain between the choice of the engine and the first byte. */
     @Test
     void whatWaitsForAConnectionToAnEngineThatBeginsToDrainGoesElsewhere() throws Exception {
