Free a request's place before its answer goes out, and keep its connection busy until then

Read again: with the answer queued before its number left the open ones, a client with 32 requests open could have the answer and ask anew before its place was free, and be told «too many open requests». The number leaves first again, and a count of answers that are being queued keeps the connection from being taken for quiet between the two. Neither order can be forced from outside; no test.

--- a/frontend/src/main/java/quincespar/program/clients/ThriftFront.java
+++ b/frontend/src/main/java/quincespar/program/clients/ThriftFront.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -174,6 +175,8 @@
         private final Connection connection;
         private final FrameDecoder frames = new FrameDecoder();
         private final Set<Integer> open = ConcurrentHashMap.newKeySet();
+        /** Answers that are being queued. */
+        private final AtomicInteger answering = new AtomicInteger();
         /** What came in this look: posted at its end, or dropped where its client has gone by then. */
         private final List<Input> found = new ArrayList<>();
         private int last;
@@ -188,10 +191,15 @@
             this.connection = connection;
         }
 
-        /** The answer first and the note of it then: between the two a close would take a request for answered. */
+        /**
+         * Its place among the open ones is free before its client can have the answer, and may ask again; but until the
+         * answer is queued the connection is busy, or a close at that moment would take it along.
+         */
         void send(int seqid, byte[] frame) {
-            boolean sent = connection.send(frame);
+            answering.incrementAndGet();
             open.remove(seqid);
+            boolean sent = connection.send(frame);
+            answering.decrementAndGet();
             if (!sent) {
                 connection.close("the client does not read");
             } else if (open.isEmpty() && ending) {
@@ -238,7 +246,7 @@
 
         @Override
         public boolean busy() {
-            return !open.isEmpty() || frames.midway() && !ending && clock.now() - begunAt < wholeMs;
+            return !open.isEmpty() || answering.get() > 0 || frames.midway() && !ending && clock.now() - begunAt < wholeMs;
         }
 
         @Override
