Test six more endings on real connections, and count on no words between front ends

EndingsTest: refused connections only, a new engine at the address of one that has gone, a whole list that leaves an engine out, what an engine says beside its answer, half an answer, a short deadline.

Read: a site that lets routers speak (limits.mayTell) had the module count on words that the protocol does not carry: engines would have passed for idle, and each word was logged. Site.of reads such settings as ones that do not (Settings.unheard); SettingsChangeTest holds it.

--- a/decision/src/main/java/quincespar/decision/Gateway.java
+++ b/decision/src/main/java/quincespar/decision/Gateway.java
@@ -96,6 +96,14 @@
                     overShareWorth, askDiscovery, marksRetry, crossZonePrice, wastePrice, peerPrice, tick, limits, rules, fleet);
         }
 
+        /** The same where no word reaches another router, whatever the site allows. */
+        public Settings unheard() {
+            Limits l = new Limits(limits.cancel, limits.probe, false, limits.secondCopies, limits.retryAfter, limits.maxAttempts,
+                    limits.maxRetryAfter, limits.openCap, limits.connectTimeout);
+            return limits.tell ? new Settings(routers, me, zone, classes, tenants, overShareWorth, askDiscovery, marksRetry,
+                    crossZonePrice, wastePrice, peerPrice, tick, l, rules, fleet) : this;
+        }
+
         private static void require(boolean right, String wrong) {
             if (!right) {
                 throw new IllegalArgumentException(wrong);
--- a/frontend/src/main/java/quincespar/routing/Site.java
+++ b/frontend/src/main/java/quincespar/routing/Site.java
@@ -20,10 +20,13 @@
     private static final double IDLE = 15_000;
     private static final int STREAMS = 100;
 
-    /** Reads pairs of path and value, as the adapter does; throws {@link IllegalArgumentException}. */
+    /**
+     * Reads pairs of path and value, as the adapter does; throws {@link IllegalArgumentException}. The protocol has no words
+     * between front ends: a module that may use them would count on what nobody has told it.
+     */
     public static Site of(Map<String, String> pairs) {
         SettingsParser settings = new SettingsParser(pairs);
-        Gateway.Settings module = settings.settings();
+        Gateway.Settings module = settings.settings().unheard();
         return new Site(module, settings.words("localities"), settings.words("kinds"),
                 aboveZero(settings.number("limits.connIdle", IDLE), IDLE),
                 (int) aboveZero(settings.number("limits.maxStreams", STREAMS), STREAMS),
--- a/frontend/src/test/java/quincespar/program/EndingsTest.java
+++ b/frontend/src/test/java/quincespar/program/EndingsTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -90,7 +91,7 @@
     }
 
     private static byte[] frame(int seqid, Map<String, String> fields) {
-        return FrontCodec.call(seqid, fields, "SELECT 1 FROM sales_3.t".getBytes(java.nio.charset.StandardCharsets.UTF_8));
+        return FrontCodec.call(seqid, fields, "SELECT 1 FROM sales_3.t".getBytes(StandardCharsets.UTF_8));
     }
 
     private static void until(Peers.Client watch, String counter, String value) throws IOException {
@@ -387,4 +388,100 @@
         assertThat(c.answer()).isEqualTo(Peers.Kind.SERVED);
         assertThat(old.commands).noneMatch(x -> x.words().get(0).equals("serve"));
     }
+
+    /** Nothing ran behind a refused connection: its client is told that a repeat is harmless, also for a load. */
+    @Test
+    void aLoadThatMeetsRefusedConnectionsOnlyIsRefusedAndNotFailed() throws Exception {
+        start(PATIENT, Peers.freePort(), "\"cancelling\":true", LOAD);
+        Peers.Client c = client();
+        c.call(1, request("load", 1));
+        assertThat(c.answer()).isEqualTo(Peers.Kind.REFUSED);
+    }
+
+    /** The old one's connection is not the new one's, and what is out there is answered there. */
+    @Test
+    void aNewEngineAtTheAddressOfOneThatHasGoneIsDialledAnew() throws Exception {
+        start(PATIENT, engine.server.getLocalPort(), "\"cancelling\":true", LOAD);
+        Peers.Client watch = client();
+        Peers.Client c = client();
+        c.call(1, request("load", 1));
+        Peers.Engine.Command old = engine.next("serve");
+        changes.answers.add(news(2, member("s-1", "removed", engine.server.getLocalPort()),
+                member("s-2", "up", engine.server.getLocalPort())));
+        until(watch, "held.engines", "2"); // the old one is kept for what is out
+        c.call(2, request("load", 2));
+        Peers.Engine.Command next = engine.next("serve");
+        assertThat(next.from()).isNotSameAs(old.from());
+        done(next);
+        assertThat(c.answer()).isEqualTo(Peers.Kind.SERVED);
+        done(old);
+        assertThat(c.answer()).isEqualTo(Peers.Kind.SERVED);
+    }
+
+    /** What a whole list does not name is gone, as if its removal had been told. */
+    @Test
+    void whatWaitsForAnEngineThatAWholeListLeavesOutGoesElsewhere() throws Exception {
+        Peers.HeldEngine held = new Peers.HeldEngine();
+        peers.add(held);
+        start(PATIENT, held.server.getLocalPort(), "\"cancelling\":true,\"connectTimeout\":30000", LOAD);
+        Peers.Client watch = client();
+        Peers.Client c = client();
+        c.call(1, request("load", 1));
+        until(watch, "engines.connected", "1");
+        changes.answers.add(news(2, member("s-2", "up", engine.server.getLocalPort())).replace("\"complete\":false",
+                "\"complete\":true"));
+        done(engine.next("serve"));
+        assertThat(c.answer()).isEqualTo(Peers.Kind.SERVED);
+        held.release();
+        isIdleUnasked(watch, held);
+    }
+
+    /** A second answer and one under another id are no answers, to this request or to the next. */
+    @Test
+    void whatAnEngineSaysBesideItsAnswerReachesNoClient() throws Exception {
+        start(PATIENT, engine.server.getLocalPort(), "\"cancelling\":true", LOAD);
+        Peers.Client c = client();
+        for (int i = 1; i <= 3; i++) {
+            c.call(i, request("load", i));
+            Peers.Engine.Command serve = engine.next("serve");
+            serve.answer("00000000000000ff", "DONE", "count=1", "odd\ta\tb\n");
+            serve.answer(serve.id(), "DONE", "count=1", "row" + i + "\ta\tb\n");
+            serve.answer(serve.id(), "DONE", "count=1", "again" + i + "\ta\tb\n");
+            assertThat(new String(c.frame(), StandardCharsets.ISO_8859_1)).contains("row" + i + "\ta\tb\n");
+        }
+    }
+
+    /** Half an answer is none: it may have run, and is not sent again. One that never ends is ended in time. */
+    @Test
+    void aLoadOfWhichHalfAnAnswerCameIsFailedWhenItsConnectionEndsOrStops() throws Exception {
+        start(PATIENT + "links {\n midway 100ms\n}\n", engine.server.getLocalPort(), "\"cancelling\":true", LOAD);
+        Peers.Client c = client();
+        for (boolean ends : new boolean[] {true, false}) {
+            c.call(ends ? 1 : 2, request("load", ends ? 1 : 2));
+            Peers.Engine.Command serve = engine.next("serve");
+            serve.raw("*4\r\n$16\r\n" + serve.id() + "\r\n$4\r\nDO");
+            if (ends) {
+                serve.from().close();
+            }
+            assertThat(c.answer()).isEqualTo(Peers.Kind.FAILED);
+        }
+        assertThat(engine.commands).noneMatch(x -> x.words().get(0).equals("serve"));
+    }
+
+    /** An engine that says nothing: the client has its one answer before its time, and what comes later is dropped. */
+    @Test
+    void aShortDeadlineIsKeptAndALateAnswerIsDropped() throws Exception {
+        start(PATIENT, engine.server.getLocalPort(), "\"cancelling\":true", LOAD);
+        Peers.Client c = client();
+        Map<String, String> brief = request("load", 1);
+        brief.put("limit", "200");
+        c.call(1, brief);
+        Peers.Engine.Command late = engine.next("serve");
+        assertThat(c.answer()).isEqualTo(Peers.Kind.FAILED);
+        done(late);
+        c.call(2, request("load", 2));
+        Peers.Engine.Command next = engine.next("serve");
+        next.answer(next.id(), "DONE", "count=1", "next\ta\tb\n");
+        assertThat(new String(c.frame(), StandardCharsets.ISO_8859_1)).contains("next\ta\tb\n");
+    }
 }
--- a/frontend/src/test/java/quincespar/routing/SettingsChangeTest.java
+++ b/frontend/src/test/java/quincespar/routing/SettingsChangeTest.java
@@ -30,6 +30,18 @@
         assertThat(third.dropped()).containsExactly(1);
     }
 
+    /** Nobody would hear its words, and its silence would pass for that of engines that stand idle. */
+    @Test
+    void aFrontEndCountsOnNoWordsBetweenFrontEndsThoughTheSiteAllowsThem() {
+        Map<String, String> pairs = new java.util.HashMap<>(Map.of("balancers", "3", "tick", "5", "limits.mayTell", "true",
+                "limits.cancelling", "true", "limits.maxAttempts", "3", "requestClasses.count", "1",
+                "requestClasses.0.slo", "800", "requestClasses.0.hardLimit", "4000"));
+        Gateway.Limits limits = Site.of(pairs).module().limits();
+        assertThat(limits.tell()).isFalse();
+        assertThat(limits.cancel()).isTrue();
+        assertThat(limits.maxAttempts()).isEqualTo(3);
+    }
+
     @Test
     void aNewClassIsTakenAtOnceAndOneInAnotherPlaceIsStillItself() {
         RouterWorld w = new RouterWorld(RouterWorld.site(3, new Spec("a", "safe"), new Spec("b", "safe")));
