--- a/frontend/src/test/java/quincespar/program/EndingsTest.java
+++ b/frontend/src/test/java/quincespar/program/EndingsTest.java
@@ -94,6 +94,21 @@
         return FrontCodec.call(seqid, fields, "SELECT 1 FROM sales_3.t".getBytes(StandardCharsets.UTF_8));
     }
 
+    private Peers.HeldEngine held() throws IOException {
+        Peers.HeldEngine held = new Peers.HeldEngine();
+        peers.add(held);
+        return held;
+    }
+
+    /** A client whose load waits for the connection to the only engine there is. */
+    private Peers.Client waitsFor(Peers.HeldEngine held, boolean cancels) throws Exception {
+        start(PATIENT, held.server.getLocalPort(), "\"cancelling\":" + cancels + ",\"connectTimeout\":30000", LOAD);
+        Peers.Client c = client();
+        c.call(1, request("load", 1));
+        until(c, "engines.connected", "1");
+        return c;
+    }
+
     private static void until(Peers.Client watch, String counter, String value) throws IOException {
         while (!value.equals(watch.counters().get(counter))) {
             Peers.goOnWaiting();
@@ -227,13 +242,9 @@
     /** Nobody waits for it any more, whether the site lets attempts be cancelled or not. */
     @Test
     void whatWaitsForAConnectionIsNotSentOnceItsClientHasLeft() throws Exception {
-        Peers.HeldEngine held = new Peers.HeldEngine();
-        peers.add(held);
-        start(PATIENT, held.server.getLocalPort(), "\"cancelling\":false,\"connectTimeout\":30000", LOAD);
+        Peers.HeldEngine held = held();
+        Peers.Client leaves = waitsFor(held, false);
         Peers.Client watch = client();
-        Peers.Client leaves = client();
-        leaves.call(1, request("load", 1));
-        until(watch, "engines.connected", "1");
         leaves.close();
         until(watch, "requests.open", "0");
         held.release();
@@ -243,8 +254,7 @@
     /** Engines discard repeats within the window only: a connection that comes up after it must not carry one. */
     @Test
     void aRepeatThatWaitsForAConnectionBeyondItsWindowIsNotSent() throws Exception {
-        Peers.HeldEngine held = new Peers.HeldEngine();
-        peers.add(held);
+        Peers.HeldEngine held = held();
         long windowMs = 2000;
         start(PATIENT, engine.server.getLocalPort(), "\"cancelling\":true,\"connectTimeout\":30000",
                 LOAD.replace("\"unsafe\"", "\"keyed\",\"keyScope\":\"all\",\"repeatWindow\":" + windowMs));
@@ -303,13 +313,9 @@
     /** Word of a drain between the choice of the engine and the first byte. */
     @Test
     void whatWaitsForAConnectionToAnEngineThatBeginsToDrainGoesElsewhere() throws Exception {
-        Peers.HeldEngine held = new Peers.HeldEngine();
-        peers.add(held);
-        start(PATIENT, held.server.getLocalPort(), "\"cancelling\":true,\"connectTimeout\":30000", LOAD);
+        Peers.HeldEngine held = held();
+        Peers.Client c = waitsFor(held, true);
         Peers.Client watch = client();
-        Peers.Client c = client();
-        c.call(1, request("load", 1));
-        until(watch, "engines.connected", "1");
         changes.answers.add(news(2, member("s-1", "draining", held.server.getLocalPort()),
                 member("s-2", "up", engine.server.getLocalPort())));
         done(engine.next("serve"));
@@ -421,13 +427,9 @@
     /** What a whole list does not name is gone, as if its removal had been told. */
     @Test
     void whatWaitsForAnEngineThatAWholeListLeavesOutGoesElsewhere() throws Exception {
-        Peers.HeldEngine held = new Peers.HeldEngine();
-        peers.add(held);
-        start(PATIENT, held.server.getLocalPort(), "\"cancelling\":true,\"connectTimeout\":30000", LOAD);
+        Peers.HeldEngine held = held();
+        Peers.Client c = waitsFor(held, true);
         Peers.Client watch = client();
-        Peers.Client c = client();
-        c.call(1, request("load", 1));
-        until(watch, "engines.connected", "1");
         changes.answers.add(news(2, member("s-2", "up", engine.server.getLocalPort())).replace("\"complete\":false",
                 "\"complete\":true"));
         done(engine.next("serve"));
