Log and count how the list is followed, failed system calls, and each request's end

Now: a line for each failed question (number, event, time out, failures in a row, cause), for the first whole answer after failures, and for each server that leaves, with what is out there; failures.SIDE.CALL.ERROR in the counters; gw_changelog_event, gw_changelog_age_ms and gw_changelog_failures_total at the second address; at level debug a line for each attempt's begin and end and each request's end.

--- a/frontend/src/main/java/quincespar/membership/Membership.java
+++ b/frontend/src/main/java/quincespar/membership/Membership.java
@@ -62,6 +62,9 @@
     private long question;
     private long wait;
     private int failures;
+    /** Failed questions since the last whole answer. */
+    private int failuresInARow;
+    private long failuresInAll;
     private double askedAt;
     private double answeredAt;
     private boolean toldStale;
@@ -91,11 +94,13 @@
         if (phase == Phase.ASKING && asked == question) {
             boolean early = now - askedAt < pace.waitMs() / 2.0;
             long before = taken;
-            answeredAt = now;
-            if (toldStale) {
-                acts.add(new Say("the change log answers again; the list holds " + members.all().size() + " engines"));
-                toldStale = false;
+            if (failuresInARow > 0) {
+                acts.add(new Say("the change log answers again after " + failuresInARow + " failures and "
+                        + Math.round(age(now)) + " ms; the list holds " + members.all().size() + " engines"));
             }
+            failuresInARow = 0;
+            toldStale = false;
+            answeredAt = now;
             acts.add(new Forget(wait));
             learn(events);
             boolean empty = seq > taken ? seq == claimed : early && taken == before;
@@ -157,6 +162,11 @@
         return taken;
     }
 
+    /** Questions that have failed since the start. */
+    public long failures() {
+        return failuresInAll;
+    }
+
     /** Where it stands. */
     public Phase phase() {
         return phase;
@@ -196,7 +206,10 @@
     }
 
     private void failed(String cause) {
-        acts.add(new Say("change log: " + cause));
+        failuresInARow++;
+        failuresInAll++;
+        acts.add(new Say("change log: question " + question + " from event " + taken + " failed after "
+                + Math.round(now - askedAt) + " ms, failure " + failuresInARow + " in a row: " + cause));
         acts.add(new Forget(wait));
         acts.add(new Drop());
         if (age(now) > pace.staleMs() && !toldStale) {
--- a/frontend/src/main/java/quincespar/metrics/Exposition.java
+++ b/frontend/src/main/java/quincespar/metrics/Exposition.java
@@ -24,6 +24,9 @@
         e.single("gw_cluster_unhealthy", "gauge", "Listed engines that the front end now avoids.", f.avoided());
         e.single("gw_conf_loaded_total", "counter", "Configurations taken at SIGHUP.", f.confLoaded());
         e.single("gw_conf_invalid_total", "counter", "Configurations turned down at SIGHUP.", f.confInvalid());
+        e.single("gw_changelog_event", "gauge", "The last event of the change log that was taken.", f.watch().event());
+        e.single("gw_changelog_age_ms", "gauge", "Milliseconds since the change log last answered whole.", f.watch().ageMs());
+        e.single("gw_changelog_failures_total", "counter", "Questions to the change log that failed.", f.watch().failures());
         return e.out.toString();
     }
 
--- a/frontend/src/main/java/quincespar/metrics/Figures.java
+++ b/frontend/src/main/java/quincespar/metrics/Figures.java
@@ -12,12 +12,16 @@
  * @param avoided      listed engines that get no new work now
  * @param confLoaded   configurations taken at SIGHUP
  * @param confInvalid  configurations turned down at SIGHUP
+ * @param watch        how the change log is followed
  */
 public record Figures(Map<String, Row> transactions, long sends, int current, int engines, int avoided,
-        long confLoaded, long confInvalid) {
+        long confLoaded, long confInvalid, Watch watch) {
 
     /** Before anything has been counted. */
-    public static final Figures NONE = new Figures(Map.of(), 0, 0, 0, 0, 0, 0);
+    public static final Figures NONE = new Figures(Map.of(), 0, 0, 0, 0, 0, 0, new Watch(0, 0, 0));
+
+    /** Following the change log: the last event taken, milliseconds since the last whole answer, questions that failed. */
+    public record Watch(long event, long ageMs, long failures) { }
 
     /** Final answers to one class's requests: served, refused and failed. */
     public record Row(long answered, long deferred, long errored) { }
--- a/frontend/src/main/java/quincespar/metrics/Ledger.java
+++ b/frontend/src/main/java/quincespar/metrics/Ledger.java
@@ -52,8 +52,8 @@
         invalid++;
     }
 
-    /** All as it stands, with what is not counted but seen: requests open, engines listed, engines avoided. */
-    public Figures figures(int current, int engines, int avoided) {
+    /** All as it stands, with what is not counted but seen: requests open, engines listed, engines avoided, the watch. */
+    public Figures figures(int current, int engines, int avoided, Figures.Watch watch) {
         if (changed) {
             Map<String, Figures.Row> out = new LinkedHashMap<>();
             for (int i = 0; i < names.size(); i++) {
@@ -63,6 +63,6 @@
             rows = Collections.unmodifiableMap(out);
             changed = false;
         }
-        return new Figures(rows, sends, current, engines, avoided, loaded, invalid);
+        return new Figures(rows, sends, current, engines, avoided, loaded, invalid, watch);
     }
 }
--- a/frontend/src/main/java/quincespar/program/FrontEnd.java
+++ b/frontend/src/main/java/quincespar/program/FrontEnd.java
@@ -429,6 +429,8 @@
             changes.drop();
         } else if (effect instanceof Effect.Log e) {
             log.info("{}: {}", configuration.name(), e.line());
+        } else if (effect instanceof Effect.Trace e && log.isDebugEnabled()) {
+            log.debug("{}: {}", configuration.name(), e.line().get());
         }
     }
 
--- a/frontend/src/main/java/quincespar/program/clients/ThriftFront.java
+++ b/frontend/src/main/java/quincespar/program/clients/ThriftFront.java
@@ -257,6 +257,7 @@
         @Override
         public void closed(String cause) {
             counters.closed(cause);
+            counters.failed("clients", cause);
             if (!open.isEmpty() && !ending && !connection.closedByPeer()) { // each is a request lost
                 log.atWarn().addKeyValue("connection", number).addKeyValue("open", open.size())
                         .log("a client's connection was closed with requests open: {}", cause);
--- a/frontend/src/main/java/quincespar/program/runtime/Counters.java
+++ b/frontend/src/main/java/quincespar/program/runtime/Counters.java
@@ -2,6 +2,7 @@
 
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
@@ -22,10 +23,13 @@
         CONFIGURATIONS_REFUSED, ERRORS_UNCAUGHT
     }
 
+    /** What the causes of connections' ends begin with where a system call has failed. */
+    private static final Set<String> CALLS = Set.of("connect", "start", "read", "write", "finishing");
     /** Causes of closes are our own words and few; beyond this many they are counted together. */
     private static final int MOST_CAUSES = 40;
 
     private final Map<String, AtomicLong> closes = new ConcurrentHashMap<>();
+    private final Map<String, AtomicLong> failures = new ConcurrentHashMap<>();
     private final AtomicLongArray counts = new AtomicLongArray(Count.values().length);
 
     public void count(Count c) {
@@ -39,6 +43,17 @@
         closes.computeIfAbsent(key, k -> new AtomicLong()).incrementAndGet();
     }
 
+    /** Counts a system call that failed, as {@code failures.side.call.error}; {@code cause} is 'call: error'. */
+    public void failed(String side, String cause) {
+        int colon = cause.indexOf(": ");
+        if (colon > 0 && CALLS.contains(cause.substring(0, colon))) {
+            String error = cause.substring(colon + 2).split("[:(]")[0].strip().replaceAll("[^A-Za-z]+", "_").toLowerCase(Locale.ROOT);
+            String name = "failures." + side + "." + cause.substring(0, colon) + "." + error;
+            failures.computeIfAbsent(failures.size() < MOST_CAUSES || failures.containsKey(name) ? name : "failures.other",
+                    k -> new AtomicLong()).incrementAndGet();
+        }
+    }
+
     public void taken(Input i) {
         if (i instanceof Input.Asked) {
             count(Count.REQUESTS_TAKEN);
@@ -48,14 +63,16 @@
             count(Count.REQUESTS_CANCELLED);
         } else if (i instanceof Input.Said s) {
             count(said(s.news()));
-        } else if (i instanceof Input.LinkDown) {
+        } else if (i instanceof Input.LinkDown d) {
             count(Count.LINKS_CLOSED);
+            failed("servers", d.cause());
         } else if (i instanceof Input.LinkUp) {
             count(Count.LINKS_OPENED);
         } else if (i instanceof Input.Changes c) {
             count(c.events().isEmpty() ? Count.CHANGES_QUIET : Count.CHANGES_NEWS);
-        } else if (i instanceof Input.ChangesFailed) {
+        } else if (i instanceof Input.ChangesFailed f) {
             count(Count.CHANGES_FAILED);
+            failed("changelog", f.cause());
         } else if (i instanceof Input.Reconfigured) {
             count(Count.CONFIGURATIONS_TAKEN);
         } else if (i instanceof Input.ReconfigureFailed) {
@@ -96,6 +113,7 @@
             out.put(c.name().toLowerCase(Locale.ROOT).replace('_', '.'), Long.toString(counts.get(c.ordinal())));
         }
         closes.forEach((name, n) -> out.put(name, n.toString()));
+        failures.forEach((name, n) -> out.put(name, n.toString()));
         return out;
     }
 }
--- a/frontend/src/main/java/quincespar/routing/Attempts.java
+++ b/frontend/src/main/java/quincespar/routing/Attempts.java
@@ -108,6 +108,8 @@
         }
         Query q = a.request.query;
         tally.engine(a.link.engine.listed.id(), "sent");
+        turn.trace(() -> "request " + q.txn() + ": attempt " + a.key.attempt() + " goes to " + a.link.engine.listed.id()
+                + " on connection " + a.link.id);
         turn.effect(new Effect.Send(a.link.id, a.key, q.txn(), a.request.spec.name(), q.idempotencyKey(),
                 Math.max(1, Math.round(a.until - turn.now)), q.statement(), a.write));
     }
@@ -157,6 +159,8 @@
             return;
         }
         a.outcome = outcome;
+        turn.trace(() -> "request " + a.txn() + ": attempt " + a.key.attempt() + " ends " + outcome + " after "
+                + Math.round(turn.now - a.at) + " ms" + (a.link == null ? ", never sent" : " at " + a.link.engine.listed.id()));
         tally.count(a.link == null ? "unsent" : "ended", outcome, a.request.spec.name());
         tally.add("ms", outcome, a.request.spec.name(), Math.round(turn.now - a.at));
         if (a.link != null) {
--- a/frontend/src/main/java/quincespar/routing/Effect.java
+++ b/frontend/src/main/java/quincespar/routing/Effect.java
@@ -1,6 +1,7 @@
 package quincespar.routing;
 
 import java.util.Map;
+import java.util.function.Supplier;
 import quincespar.recovery.Entry;
 import quincespar.transport.WithdrawableWrite;
 
@@ -69,4 +70,7 @@
 
     /** Tell the operators. */
     record Log(String line) implements Effect { }
+
+    /** Tell whoever follows single requests; the line is made only where somebody does, and before the next step. */
+    record Trace(Supplier<String> line) implements Effect { }
 }
--- a/frontend/src/main/java/quincespar/routing/Fleet.java
+++ b/frontend/src/main/java/quincespar/routing/Fleet.java
@@ -48,6 +48,11 @@
         return engines.get(number);
     }
 
+    /** The engine of that id in the list, null where there is none. */
+    Engine named(String id) {
+        return engines.values().stream().filter(e -> e.listed.id().equals(id)).findFirst().orElse(null);
+    }
+
     Collection<Engine> all() {
         return List.copyOf(engines.values());
     }
--- a/frontend/src/main/java/quincespar/routing/Reducer.java
+++ b/frontend/src/main/java/quincespar/routing/Reducer.java
@@ -94,7 +94,7 @@
 
     /** What is reported of the front end, as it stands after the last step. */
     public Figures figures() {
-        return ledger.figures(requests.open(), fleet.listed(), gateway.avoided());
+        return ledger.figures(requests.open(), fleet.listed(), gateway.avoided(), roster.watch());
     }
 
     /** Milliseconds since the change log last answered whole. */
--- a/frontend/src/main/java/quincespar/routing/Requests.java
+++ b/frontend/src/main/java/quincespar/routing/Requests.java
@@ -176,6 +176,7 @@
     void left(Caller c) {
         OpenRequest r = callers.get(c);
         if (r != null) {
+            turn.trace(() -> "request " + r.query.txn() + " of " + r.spec.name() + ": its client has gone or cancelled");
             close(r);
             forgets(r);
         }
@@ -184,6 +185,8 @@
     /** Exactly one final answer: a request that is over gets none. */
     void answer(OpenRequest r, Reply reply) {
         if (r != null && !r.over) {
+            turn.trace(() -> "request " + r.query.txn() + " of " + r.spec.name() + ": " + reply.getClass().getSimpleName()
+                    + " after " + r.attempts.size() + " attempts" + r.attempts.stream().map(a -> " " + a.outcome).toList());
             tell(r.caller, r.query.cls(), reply);
             close(r);
         }
--- a/frontend/src/main/java/quincespar/routing/Roster.java
+++ b/frontend/src/main/java/quincespar/routing/Roster.java
@@ -4,6 +4,7 @@
 import quincespar.decision.Gateway;
 import quincespar.decision.Gateway.Outcome;
 import quincespar.membership.Membership;
+import quincespar.metrics.Figures;
 import quincespar.metrics.Ledger;
 import quincespar.protocol.FleetEvent;
 
@@ -100,6 +101,7 @@
             } else if (act instanceof Membership.Forget a) {
                 turn.stop(new TimerKey.Changes(a.serial()));
             } else if (act instanceof Membership.Learned a) {
+                sayWhoLeaves(a);
                 turn.event(fleet.take(a.event(), a.removed()));
                 news = true;
             } else if (act instanceof Membership.Say a) {
@@ -112,6 +114,30 @@
         }
     }
 
+    /** Engines that take nothing new from now on, with what is out there, before the event is taken. */
+    private void sayWhoLeaves(Membership.Learned a) {
+        for (FleetEvent.Member m : a.event().members()) {
+            if (m.phase() != FleetEvent.Phase.UP) {
+                sayWhoLeaves(m, a.event().seq());
+            }
+        }
+        a.removed().forEach(m -> sayWhoLeaves(m, a.event().seq()));
+    }
+
+    private void sayWhoLeaves(FleetEvent.Member m, long event) {
+        Fleet.Engine e = fleet.named(m.id());
+        if (e != null && e.listed.phase() != m.phase()) {
+            int open = e.links.stream().mapToInt(l -> l.open.size()).sum();
+            turn.effect(new Effect.Log("server " + m.id() + ": " + e.listed.phase() + " -> " + m.phase() + " by event "
+                    + event + ", " + open + " attempts out on " + e.links.size() + " connections"));
+        }
+    }
+
+    /** How the change log is followed, for what is reported. */
+    Figures.Watch watch() {
+        return new Figures.Watch(membership.seq(), Math.round(membership.age(turn.now)), membership.failures());
+    }
+
     /** After news of an engine: nothing goes out to one that is not ready, and old processes' links end. */
     private void review(Fleet.Engine e) {
         for (Link l : List.copyOf(e.links)) {
--- a/frontend/src/main/java/quincespar/routing/Turn.java
+++ b/frontend/src/main/java/quincespar/routing/Turn.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Supplier;
 import quincespar.decision.Gateway.Event;
 
 /** What all holders of state share: the time of the step, the settings in force, and what the step has brought about so far. */
@@ -25,6 +26,11 @@
         effects.add(e);
     }
 
+    /** Tells whoever follows single requests; the line is made before the next step, if at all. */
+    void trace(Supplier<String> line) {
+        effects.add(new Effect.Trace(line));
+    }
+
     /** The module is to hear of this. */
     void event(Event e) {
         events.add(e);
--- a/frontend/src/main/java/quincespar/transport/Listener.java
+++ b/frontend/src/main/java/quincespar/transport/Listener.java
@@ -135,6 +135,7 @@
      */
     public void close(Runnable closed) {
         loop.execute(() -> {
+            log.info("closing the listener at {}", address);
             try {
                 if (key != null) {
                     loop.forget(key);
--- a/frontend/src/test/java/quincespar/metrics/FiguresTest.java
+++ b/frontend/src/test/java/quincespar/metrics/FiguresTest.java
@@ -6,24 +6,26 @@
 import org.junit.jupiter.api.Test;
 
 class FiguresTest {
+    private static final Figures.Watch WATCH = new Figures.Watch(7, 350, 3);
+
     private final Ledger ledger = new Ledger();
 
     @Test
     void everyClassHasItsRowsFromZeroOnAndADroppedOneKeepsThem() {
         ledger.classes(List.of("lookup", "load"));
-        assertThat(ledger.figures(0, 0, 0).transactions()).containsOnlyKeys("lookup", "load");
+        assertThat(ledger.figures(0, 0, 0, WATCH).transactions()).containsOnlyKeys("lookup", "load");
         ledger.ended(0, Ledger.End.ANSWERED);
         ledger.ended(1, Ledger.End.DEFERRED);
         ledger.classes(List.of("lookup", "load", "report"));
         ledger.ended(1, Ledger.End.ERRORED);
-        assertThat(ledger.figures(0, 0, 0).transactions()).containsEntry("lookup", new Figures.Row(1, 0, 0))
+        assertThat(ledger.figures(0, 0, 0, WATCH).transactions()).containsEntry("lookup", new Figures.Row(1, 0, 0))
                 .containsEntry("load", new Figures.Row(0, 1, 1)).containsEntry("report", new Figures.Row(0, 0, 0));
     }
 
     @Test
     void aViewDoesNotChangeWithWhatIsCountedLater() {
         ledger.classes(List.of("lookup"));
-        Figures before = ledger.figures(1, 2, 1);
+        Figures before = ledger.figures(1, 2, 1, WATCH);
         ledger.ended(0, Ledger.End.ANSWERED);
         ledger.sent();
         assertThat(before.transactions().get("lookup")).isEqualTo(new Figures.Row(0, 0, 0));
@@ -38,7 +40,7 @@
         ledger.loaded();
         ledger.invalid();
         ledger.invalid();
-        assertThat(Exposition.text(ledger.figures(14, 6, 2)).lines()).containsExactly(
+        assertThat(Exposition.text(ledger.figures(14, 6, 2, WATCH)).lines()).containsExactly(
                 "# HELP gw_transactions_total Requests that got their final answer, by class: served, refused, failed.",
                 "# TYPE gw_transactions_total counter",
                 "gw_transactions_total{group=\"a\\\"b\\\\c\\nd\",state=\"answered\"} 0",
@@ -53,6 +55,12 @@
                 "# HELP gw_conf_loaded_total Configurations taken at SIGHUP.", "# TYPE gw_conf_loaded_total counter",
                 "gw_conf_loaded_total 1",
                 "# HELP gw_conf_invalid_total Configurations turned down at SIGHUP.",
-                "# TYPE gw_conf_invalid_total counter", "gw_conf_invalid_total 2");
+                "# TYPE gw_conf_invalid_total counter", "gw_conf_invalid_total 2",
+                "# HELP gw_changelog_event The last event of the change log that was taken.", "# TYPE gw_changelog_event gauge",
+                "gw_changelog_event 7",
+                "# HELP gw_changelog_age_ms Milliseconds since the change log last answered whole.",
+                "# TYPE gw_changelog_age_ms gauge", "gw_changelog_age_ms 350",
+                "# HELP gw_changelog_failures_total Questions to the change log that failed.",
+                "# TYPE gw_changelog_failures_total counter", "gw_changelog_failures_total 3");
     }
 }
