Do not take an interrupted read for the end of a connection

Cause: Connection.receive took every negative count for the peer's end. A non-blocking SocketChannel.read returns -1 at the end and -3 where a signal interrupted the call (EINTR), with nothing thrown. Why it works: only -1 ends the connection; an interrupted look counts as one that may have found something, so a close for idleness waits too.

--- a/frontend/src/main/java/quincespar/transport/Connection.java
+++ b/frontend/src/main/java/quincespar/transport/Connection.java
@@ -70,6 +70,8 @@
 
     private enum Phase { NEW, DIALLING, OPEN, FINISHING, FINISHED, CLOSED }
 
+    /** What a read returns at the peer's end; other negative numbers stand for a call that a signal interrupted. */
+    private static final int END_OF_STREAM = -1;
     /** Reads of one connection in a pass: one that sends at full speed must not keep others waiting. */
     private static final int READS = 4;
     /** A peer that has taken nothing of what is queued for so long does not read. */
@@ -404,12 +406,13 @@
     }
 
     /**
-     * Reads until nothing more lies there, within bounds, and hands it on; true where something came. The owner hears at
+     * Reads until nothing more lies there, within bounds, and hands it on; true where something came or may lie there. The owner hears at
      * once whether the peer has ended the connection behind it, and not in a later pass: guards against work for one who
      * has gone, as after a time in which nothing was read.
      */
     private boolean receive(boolean toClose) {
         boolean some = false;
+        boolean interrupted = false;
         for (int i = 0; i < READS; i++) {
             int n;
             try {
@@ -418,23 +421,28 @@
                 gone("read: " + e.getMessage());
                 return some;
             }
-            if (n < 0) {
+            if (n == END_OF_STREAM) {
                 gone("closed by the peer");
                 return some;
             }
             if (n == 0) {
                 break;
             }
-            if (toClose && !some) {
-                handler.notQuiet();
+            interrupted |= n < 0;
+            if (n > 0) {
+                if (toClose && !some) {
+                    handler.notQuiet();
+                }
+                some = true;
+                handle(n);
             }
-            some = true;
-            handle(n);
         }
         if (some) {
             handler.passed();
+        } else if (interrupted && toClose) {
+            handler.notQuiet(); // something may lie there
         }
-        return some;
+        return some || interrupted;
     }
 
     private void connected() {
--- /dev/null
+++ b/frontend/src/test/java/quincespar/program/SystemCallFaultsIT.java
@@ -0,0 +1,129 @@
+package quincespar.program;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import quincespar.program.SystemCallFaults.Call;
+import quincespar.program.SystemCallFaults.Errno;
+import quincespar.program.SystemCallFaults.Fault;
+
+/** The jar as {@code run} starts it, before two servers and a change log, while its system calls fail for a moment. */
+@Timeout(120)
+class SystemCallFaultsIT {
+    private static final String LOOKUP = Peers.LOOKUP;
+    private static final String LOAD = "{\"name\":\"load\",\"slo\":2000,\"hardLimit\":4000,\"effect\":\"unsafe\"}";
+    private static final long NEXT_QUESTION_MS = 500;
+
+    @TempDir
+    private Path folder;
+    private Peers.Engine draining;
+    private Peers.Engine other;
+    private Peers.Changes changes;
+    private SystemCallFaults faults;
+    private int port;
+    private int admin;
+    private Process process;
+    private final ConcurrentLinkedQueue<String> reached = new ConcurrentLinkedQueue<>();
+
+    @BeforeEach
+    void peers() throws IOException, InterruptedException {
+        draining = new Peers.Engine();
+        other = new Peers.Engine();
+        changes = new Peers.Changes();
+        faults = SystemCallFaults.in(folder);
+        port = Peers.freePort();
+        admin = Peers.freePort();
+        serveAll("s-1", draining);
+        serveAll("s-2", other);
+    }
+
+    @AfterEach
+    void end() throws InterruptedException {
+        process.destroyForcibly().waitFor();
+    }
+
+    private void serveAll(String id, Peers.Engine engine) {
+        Thread t = new Thread(() -> {
+            try {
+                while (true) {
+                    Peers.Engine.Command c = engine.commands.take();
+                    if (c.words().get(0).equals("serve")) {
+                        reached.add(id);
+                        c.answer(c.id(), "DONE", "count=1", "row\ta\tb\n");
+                    }
+                }
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }, "serve-" + id);
+        t.setDaemon(true);
+        t.start();
+    }
+
+    private static String member(String id, Peers.Engine engine, String phase) {
+        return "{\"id\":\"%s\",\"host_port\":\"127.0.0.1:%d\",\"phase\":\"%s\",\"size\":4}".formatted(id,
+                engine.server.getLocalPort(), phase);
+    }
+
+    private String drain() {
+        return "{\"seq\":2,\"results\":[{\"seq\":2,\"fleet\":{\"revision\":2,\"complete\":false,\"members\":["
+                + member("s-1", draining, "draining") + "]}}]}";
+    }
+
+    private Path configuration(int changeLog) throws IOException {
+        return Files.writeString(folder.resolve("config.json"), """
+            {"name":"n1","listen":"127.0.0.1:%d","seed":"1","limits":{"sockets":128},"changelog":"127.0.0.1:%d",
+             "known":{"seq":1,"results":[{"seq":1,"fleet":{"revision":1,"complete":true,"members":[%s,%s]}}]},
+             "settings":{"tick":5,"limits":{"cancelling":true,"maxAttempts":3,"maxStreams":100},
+             "projects":[{"name":"acme","quotaPerS":500,"share":1}],"requestClasses":[%s,%s]}}
+            """.formatted(port, changeLog, member("s-1", draining, "up"), member("s-2", other, "up"), LOOKUP, LOAD));
+    }
+
+    private void launch() throws IOException {
+        process = Peers.run(faults.prefix(), configuration(changes.server.getLocalPort()), admin,
+                Files.createDirectories(folder.resolve("tmp")), folder.resolve("log"));
+    }
+
+    private void start() throws IOException {
+        launch();
+        Peers.untilReady(admin);
+    }
+
+    private String nextQuestion() throws InterruptedException {
+        return changes.questions.poll(20, TimeUnit.SECONDS);
+    }
+
+    /** Asks until both servers would have had their turn. */
+    private void askAll(String verb, int from) throws IOException {
+        try (Peers.Client c = new Peers.Client(port)) {
+            for (int i = 1; i <= 20; i++) {
+                c.call(i, Peers.fields(verb, String.format("%016x", from + i)));
+                assertThat(c.answer()).isEqualTo(Peers.Kind.SERVED);
+            }
+        }
+    }
+
+    @Test
+    void anInterruptedReadIsNotTakenForTheEndOfAConnection() throws Exception {
+        start();
+        assertThat(nextQuestion()).startsWith("GET /changes?since=1&");
+        Fault reads = faults.failSome(Call.READ, Errno.EINTR, 0, 300, 7);
+        askAll("load", 0);
+        reads.untilStruck(1);
+        reads.end();
+        try (Peers.Client c = new Peers.Client(port)) {
+            assertThat(c.counters()).containsEntry("links.closed", "0").containsEntry("changes.failed", "0");
+        }
+    }
+}
