Do not take an interrupted look at a connect for its success

What callers saw in the reproduction: loads answered as failed though no server ever saw them. Cause: Connection.connected dropped the answer of finishConnect, which is false, with nothing thrown, where poll was interrupted (EINTR); the connection was told as up, and the first write threw NotYetConnectedException on the reducer's thread, with the frame begun and stuck in the outbox. Why it works: interest in the connect stays, so the selector tells again.

--- a/frontend/src/main/java/quincespar/transport/Connection.java
+++ b/frontend/src/main/java/quincespar/transport/Connection.java
@@ -447,7 +447,9 @@
 
     private void connected() {
         try {
-            channel.finishConnect();
+            if (!channel.finishConnect()) {
+                return; // a signal interrupted the look: the selector tells again
+            }
         } catch (IOException e) {
             close("connect: " + e.getMessage());
             return;
--- a/frontend/src/test/java/quincespar/program/SystemCallFaultsIT.java
+++ b/frontend/src/test/java/quincespar/program/SystemCallFaultsIT.java
@@ -126,4 +126,16 @@
             assertThat(c.counters()).containsEntry("links.closed", "0").containsEntry("changes.failed", "0");
         }
     }
+
+    @Test
+    void anInterruptedLookAtAConnectIsNotTakenForItsEnd() throws Exception {
+        start();
+        Fault polls = faults.failSome(Call.POLL, Errno.EINTR, 0, 700, 3);
+        askAll("load", 0);
+        polls.untilStruck(1);
+        polls.end();
+        try (Peers.Client c = new Peers.Client(port)) {
+            assertThat(c.counters()).containsEntry("links.closed", "0").containsEntry("errors.uncaught", "0");
+        }
+    }
 }
