Keep a frame withdrawable until a byte of it has really gone out

Cause: Connection.write marked a frame as begun before the write; one that took nothing (EAGAIN into a full buffer, EINTR) left it queued and no longer withdrawable, so Roster.review could not take it back at the notice and its first byte went out later. Evidence: aRequestOfWhichNothingWasWrittenDoesNotGoToAServerThatDrains, which has writes to one server take nothing across its notice; before: s-1 and s-2 were reached, after: s-2 alone. Why it works: WithdrawableWrite performs the write under its own lock and is begun only where the frame's position has moved.

--- a/frontend/src/main/java/quincespar/transport/Connection.java
+++ b/frontend/src/main/java/quincespar/transport/Connection.java
@@ -49,7 +49,6 @@
         final ByteBuffer bytes;
         final WithdrawableWrite write;
         final Runnable written;
-        boolean begun;
 
         Frame(byte[] bytes, WithdrawableWrite write, Runnable written) {
             this.bytes = ByteBuffer.wrap(bytes);
@@ -57,10 +56,16 @@
             this.written = written;
         }
 
-        /** Whether it goes out; asked before its first byte, and its leave can't be taken back from then on. */
-        boolean begin() {
-            begun = begun || write == null || write.begin();
-            return begun;
+        /** Writes as much as the channel takes; false where it was withdrawn. */
+        boolean write(SocketChannel to) throws IOException {
+            if (write == null) {
+                to.write(bytes);
+                return true;
+            }
+            return write.write(() -> {
+                to.write(bytes);
+                return bytes.position() > 0;
+            });
         }
 
         int size() {
@@ -199,8 +204,9 @@
         try {
             while (!outbox.isEmpty()) {
                 Frame f = outbox.peek();
-                if (f.begin()) {
-                    takenAt = channel.write(f.bytes) > 0 ? System.nanoTime() : takenAt;
+                int before = f.bytes.position();
+                if (f.write(channel)) {
+                    takenAt = f.bytes.position() > before ? System.nanoTime() : takenAt;
                     if (f.bytes.hasRemaining()) {
                         loop.execute(() -> interest(SelectionKey.OP_WRITE, true));
                         return;
--- a/frontend/src/test/java/quincespar/program/SystemCallFaultsIT.java
+++ b/frontend/src/test/java/quincespar/program/SystemCallFaultsIT.java
@@ -138,4 +138,20 @@
             assertThat(c.counters()).containsEntry("links.closed", "0").containsEntry("errors.uncaught", "0");
         }
     }
+
+    @Test
+    void aRequestOfWhichNothingWasWrittenDoesNotGoToAServerThatDrains() throws Exception {
+        start();
+        assertThat(nextQuestion()).startsWith("GET /changes?since=1&");
+        askAll("lookup", 0); // connections to both are up
+        reached.clear();
+        Fault writes = faults.fail(Call.WRITE, Errno.EAGAIN, draining.server.getLocalPort());
+        CompletableFuture<Void> asking = Peers.beside(() -> askAll("lookup", 100));
+        writes.untilStruck(1);
+        changes.answers.add(drain());
+        assertThat(nextQuestion()).startsWith("GET /changes?since=2&");
+        writes.end();
+        asking.join();
+        assertThat(reached).containsOnly("s-2");
+    }
 }
