Ask the change log again soon after a question that could not be sent

A connect that this machine refused (EADDRNOTAVAIL, ENETUNREACH, ENFILE) never reached the change log, which told events meanwhile, so the list was up to 1 s late after the calls worked again; a connect without an end held a question for 3 s. Evidence: aDrainIsHeardAsSoonAsFailingCallsWorkAgain breaks the watch (read ETIMEDOUT) and lets connects fail; after the fourth it asked again 1 s later (bound 500 ms, failed before), now within 250 ms. Change: Membership tells how a question failed (Failure); not sent: pauses of 50 to 250 ms; sent: 50 ms to 1 s, within the 64 calls a minute of FleetCallsTest; a connect has an end of its own, 400 ms, doubled with each slow one; a question waits 1 s, not 2. The model test plays all three failures.

--- a/frontend/src/main/java/quincespar/membership/Membership.java
+++ b/frontend/src/main/java/quincespar/membership/Membership.java
@@ -20,8 +20,11 @@
     /** What is to be done. */
     public sealed interface Act { }
 
-    /** Ask the change log at an address for what came after an event; it may wait for so long before it answers. */
-    public record Ask(long question, String address, long since, long waitMs) implements Act { }
+    /**
+     * Ask the change log at an address for what came after an event; it may wait for so long before it answers, and a new
+     * connection may take so long to come up.
+     */
+    public record Ask(long question, String address, long since, long waitMs, double connectMs) implements Act { }
 
     /** Give up what is asked, and the connection with it. */
     public record Drop() implements Act { }
@@ -48,6 +51,11 @@
         PAUSING
     }
 
+    /** The wait of the questions of the start: the list of the start may be old, and nothing is served before an answer. */
+    private static final long FIRST_WAIT_MS = 100;
+    /** Pauses and times to connect double this often at the most. */
+    private static final int MOST_DOUBLINGS = 5;
+
     private final Pace pace;
     private final Members members = new Members();
     private List<Act> acts = new ArrayList<>();
@@ -62,6 +70,10 @@
     private long question;
     private long wait;
     private int failures;
+    private int unreached;
+    private int slowConnects;
+    private boolean answeredOnce;
+    private double askedWaitMs;
     /** Failed questions since the last whole answer. */
     private int failuresInARow;
     private long failuresInAll;
@@ -92,14 +104,17 @@
     public List<Act> answered(double time, long asked, long seq, List<FleetEvent> events) {
         now = Math.max(now, time);
         if (phase == Phase.ASKING && asked == question) {
-            boolean early = now - askedAt < pace.waitMs() / 2.0;
+            boolean early = now - askedAt < askedWaitMs / 2;
             long before = taken;
             if (failuresInARow > 0) {
                 acts.add(new Say("the change log answers again after " + failuresInARow + " failures and "
                         + Math.round(age(now)) + " ms; the list holds " + members.all().size() + " engines"));
             }
             failuresInARow = 0;
+            unreached = 0;
+            slowConnects = 0;
             toldStale = false;
+            answeredOnce = true;
             answeredAt = now;
             acts.add(new Forget(wait));
             learn(events);
@@ -107,7 +122,7 @@
             failures = empty ? failures : 0;
             claimed = seq > taken ? seq : 0;
             if (empty) {
-                pause();
+                pauseAfterCall();
             } else {
                 ask();
             }
@@ -116,10 +131,10 @@
     }
 
     /** A question failed, or its connection did. */
-    public List<Act> failed(double time, long asked, String cause) {
+    public List<Act> failed(double time, long asked, Failure how, String cause) {
         now = Math.max(now, time);
         if (phase == Phase.ASKING && asked == question) {
-            failed(cause);
+            failed(how, cause);
         }
         return taken();
     }
@@ -129,7 +144,7 @@
         now = Math.max(now, time);
         if (which == wait) { // else it was stopped when it had fired already
             if (phase == Phase.ASKING) {
-                failed("no answer in time");
+                failed(Failure.UNANSWERED, "no answer in time");
             } else if (phase == Phase.PAUSING) {
                 ask();
             }
@@ -146,12 +161,19 @@
         acts.add(new Say("change log at " + to + " from event " + taken));
         address = to;
         failures = 0;
+        unreached = 0;
+        slowConnects = 0;
         acts.add(new Forget(wait));
         acts.add(new Drop());
         ask();
         return taken();
     }
 
+    /** Whether the change log has answered whole since the start. */
+    public boolean answeredOnce() {
+        return answeredOnce;
+    }
+
     /** Milliseconds since the change log last answered whole. */
     public double age(double time) {
         return Math.max(0, time - answeredAt);
@@ -201,11 +223,13 @@
         phase = Phase.ASKING;
         askedAt = now;
         question = ++serial;
-        acts.add(new Ask(question, address, taken, pace.waitMs()));
-        await(pace.waitMs() + pace.slackMs());
+        long waitMs = answeredOnce ? pace.waitMs() : Math.min(FIRST_WAIT_MS, pace.waitMs());
+        askedWaitMs = waitMs;
+        acts.add(new Ask(question, address, taken, waitMs, doubled(pace.connectMs(), slowConnects)));
+        await(waitMs + pace.slackMs());
     }
 
-    private void failed(String cause) {
+    private void failed(Failure how, String cause) {
         failuresInARow++;
         failuresInAll++;
         acts.add(new Say("change log: question " + question + " from event " + taken + " failed after "
@@ -217,12 +241,26 @@
             acts.add(new Say("the change log has not answered for " + Math.round(age(now) / 1000)
                     + " s; the list stays as it was told, with " + members.all().size() + " engines"));
         }
-        pause();
+        if (how == Failure.UNANSWERED) {
+            pauseAfterCall();
+        } else {
+            slowConnects += how == Failure.SLOW_CONNECT ? 1 : 0;
+            pause(Math.min(pace.unreachedPauseMs(), doubled(pace.pauseMs(), unreached++)));
+        }
+    }
+
+    /** Calls that the change log has worked on add up over a whole fleet. */
+    private void pauseAfterCall() {
+        pause(Math.min(pace.longestPauseMs(), doubled(pace.pauseMs(), failures++)));
     }
 
-    private void pause() {
+    private void pause(double ms) {
         phase = Phase.PAUSING;
-        await(Math.min(pace.longestPauseMs(), pace.pauseMs() * (1 << Math.min(failures++, 4))));
+        await(ms);
+    }
+
+    private static double doubled(double ms, int times) {
+        return ms * (1 << Math.min(times, MOST_DOUBLINGS));
     }
 
     private void await(double delay) {
--- a/frontend/src/main/java/quincespar/membership/Pace.java
+++ b/frontend/src/main/java/quincespar/membership/Pace.java
@@ -1,9 +1,15 @@
 package quincespar.membership;
 
 /**
- * How the change log is followed, all in milliseconds: {@code waitMs} is how long it may hold back an answer while there
- * is no news, {@code slackMs} how much later the answer may come, {@code pauseMs} the pause after a first failure, which
- * doubles up to {@code longestPauseMs}, and {@code staleMs} the age of the last whole answer from which the list is
- * called stale.
+ * How the change log is followed, all in milliseconds.
+ *
+ * @param waitMs how long it may hold back an answer while there is no news
+ * @param slackMs how much later the answer may come
+ * @param pauseMs the pause after a first failure; it doubles
+ * @param longestPauseMs the longest pause after a question that reached the change log
+ * @param unreachedPauseMs the longest pause after a question that did not: it has cost the change log nothing
+ * @param connectMs how long a connection may take to come up, at first; it doubles with each that took longer
+ * @param staleMs the age of the last whole answer from which the list is called stale
  */
-public record Pace(long waitMs, double slackMs, double pauseMs, double longestPauseMs, double staleMs) { }
+public record Pace(long waitMs, double slackMs, double pauseMs, double longestPauseMs, double unreachedPauseMs, double connectMs,
+        double staleMs) { }
--- a/frontend/src/main/java/quincespar/program/engines/ChangeLog.java
+++ b/frontend/src/main/java/quincespar/program/engines/ChangeLog.java
@@ -5,6 +5,7 @@
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.function.Consumer;
+import quincespar.membership.Failure;
 import quincespar.program.runtime.Addresses;
 import quincespar.protocol.ChangeLogCodec;
 import quincespar.protocol.MalformedException;
@@ -32,7 +33,7 @@
 
     public void poll(Effect.Poll e) {
         if (current == null || !current.ask(e)) {
-            current = new Exchange(Addresses.of(e.address()), e.serial());
+            current = new Exchange(Addresses.of(e.address()), e.serial(), e.connectMs());
             current.ask(e);
         }
     }
@@ -52,13 +53,14 @@
         private final Queue<Long> asked = new ConcurrentLinkedQueue<>();
         /** The last question, which a failure of the connection fails. */
         private volatile long last;
+        private volatile boolean up;
 
         /** The number is set before the dial: a port that is closed may say so before anything is asked. */
-        Exchange(InetSocketAddress address, long first) {
+        Exchange(InetSocketAddress address, long first, double connectMs) {
             this.address = address;
             last = first;
             connection = Connection.dialled(loop, "changes", bound);
-            connection.dial(address, this);
+            connection.dial(address, this, Math.round(connectMs));
         }
 
         boolean ask(Effect.Poll e) {
@@ -69,12 +71,17 @@
             return connection.send(request.getBytes(StandardCharsets.US_ASCII));
         }
 
+        @Override
+        public void opened() {
+            up = true;
+        }
+
         @Override
         public void received(byte[] bytes, int count) {
             try {
                 decoder.feed(bytes, count, this::answered);
             } catch (MalformedException e) { // asked again after a pause; the list that we have is kept
-                post.accept(new Input.ChangesFailed(last, e.getMessage()));
+                post.accept(new Input.ChangesFailed(last, Failure.UNANSWERED, e.getMessage()));
                 connection.close("malformed");
             }
         }
@@ -93,7 +100,8 @@
 
         @Override
         public void closed(String cause) {
-            post.accept(new Input.ChangesFailed(last, cause));
+            post.accept(new Input.ChangesFailed(last, up ? Failure.UNANSWERED : cause.equals(Connection.NOT_UP_IN_TIME)
+                    ? Failure.SLOW_CONNECT : Failure.UNREACHED, cause));
         }
     }
 }
--- a/frontend/src/main/java/quincespar/routing/Effect.java
+++ b/frontend/src/main/java/quincespar/routing/Effect.java
@@ -44,8 +44,8 @@
     /** Stop a timer. */
     record StopTimer(TimerKey key) implements Effect { }
 
-    /** Ask the change log at an address for what came after an event. */
-    record Poll(long serial, String address, long since, long waitMs) implements Effect { }
+    /** Ask the change log at an address for what came after an event; a new connection may take so long to come up. */
+    record Poll(long serial, String address, long since, long waitMs, double connectMs) implements Effect { }
 
     /** Read the configuration again. */
     record Reread(long serial) implements Effect { }
--- a/frontend/src/main/java/quincespar/routing/Input.java
+++ b/frontend/src/main/java/quincespar/routing/Input.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import quincespar.fleet.FleetView;
 import quincespar.fleet.Snapshot;
+import quincespar.membership.Failure;
 import quincespar.protocol.FleetEvent;
 import quincespar.recovery.Entry;
 import quincespar.recovery.Trust;
@@ -50,7 +51,7 @@
     record Changes(long serial, long seq, List<FleetEvent> events) implements Input { }
 
     /** The change log did not answer, or with what can't be read. */
-    record ChangesFailed(long serial, String cause) implements Input { }
+    record ChangesFailed(long serial, Failure how, String cause) implements Input { }
 
     /** So many clients' connections may be held from now on; more make room for each other. */
     record Places(int callers) implements Input { }
--- a/frontend/src/main/java/quincespar/routing/Reducer.java
+++ b/frontend/src/main/java/quincespar/routing/Reducer.java
@@ -97,6 +97,11 @@
         return ledger.figures(requests.open(), fleet.listed(), gateway.avoided(), roster.watch());
     }
 
+    /** Whether the change log has answered whole since the start: until then the list may be an old one. */
+    public boolean listConfirmed() {
+        return roster.answeredOnce();
+    }
+
     /** Milliseconds since the change log last answered whole. */
     public double listAge(double time) {
         return roster.age(time);
--- a/frontend/src/main/java/quincespar/routing/Roster.java
+++ b/frontend/src/main/java/quincespar/routing/Roster.java
@@ -35,6 +35,10 @@
         follow(membership.start(turn.now, changeLogAt, known));
     }
 
+    boolean answeredOnce() {
+        return membership.answeredOnce();
+    }
+
     double age(double time) {
         return membership.age(time);
     }
@@ -45,7 +49,7 @@
     }
 
     void failed(Input.ChangesFailed x) {
-        follow(membership.failed(turn.now, x.serial(), x.cause()));
+        follow(membership.failed(turn.now, x.serial(), x.how(), x.cause()));
     }
 
     void due(long changes) {
@@ -93,7 +97,7 @@
         boolean news = false;
         for (Membership.Act act : acts) {
             if (act instanceof Membership.Ask a) {
-                turn.effect(new Effect.Poll(a.question(), a.address(), a.since(), a.waitMs()));
+                turn.effect(new Effect.Poll(a.question(), a.address(), a.since(), a.waitMs(), a.connectMs()));
             } else if (act instanceof Membership.Drop) {
                 turn.effect(new Effect.DropPoll());
             } else if (act instanceof Membership.Await a) {
--- a/frontend/src/main/java/quincespar/settings/Keyword.java
+++ b/frontend/src/main/java/quincespar/settings/Keyword.java
@@ -33,15 +33,21 @@
     LINKS_MIDWAY("links", "midway", Type.TIME, "500ms", 10, 60_000,
             "An engine's message that has begun and is not whole by then ends its connection."),
     /** How long a question may wait. */
-    CHANGES_WAIT("change-log", "wait", Type.TIME, "2s", 100, 5000,
+    CHANGES_WAIT("change-log", "wait", Type.TIME, "1s", 100, 5000,
             "How long the change log may hold back its answer while there is no news."),
     /** How much later an answer may come. */
     CHANGES_SLACK("change-log", "slack", Type.TIME, "1s", 100, 10_000,
             "How much later than that an answer may come before the question counts as lost."),
     /** The first pause. */
-    CHANGES_PAUSE("change-log", "pause", Type.TIME, "250ms", 10, 10_000, "The pause after a first failure; it doubles."),
+    CHANGES_PAUSE("change-log", "pause", Type.TIME, "50ms", 10, 10_000, "The pause after a first failure; it doubles."),
     /** The longest pause. */
     CHANGES_LONGEST_PAUSE("change-log", "longest-pause", Type.TIME, "1s", 10, 60_000, "The longest such pause."),
+    /** The longest pause after a question that was not sent. */
+    CHANGES_UNREACHED_PAUSE("change-log", "unreached-pause", Type.TIME, "250ms", 10, 60_000,
+            "The longest such pause where no connection could be had, which costs the change log nothing."),
+    /** How long a connection may take. */
+    CHANGES_CONNECT("change-log", "connect", Type.TIME, "400ms", 10, 60_000,
+            "How long a connection may take to come up; it doubles with each that took longer."),
     /** When a list is stale. */
     CHANGES_STALE("change-log", "stale-after", Type.TIME, "10s", 1000, 3_600_000,
             "With no whole answer for so long the list is logged as stale; it stays in use."),
--- a/frontend/src/main/java/quincespar/transport/Connection.java
+++ b/frontend/src/main/java/quincespar/transport/Connection.java
@@ -86,6 +86,9 @@
     /** What is still read and dropped meanwhile. */
     private static final int LINGER_BYTES = 64 * 1024;
 
+    /** The cause of the end of a connection that was given so long to come up. */
+    public static final String NOT_UP_IN_TIME = "connect: not up in time";
+
     private final EventLoop loop;
     private final String name;
     private final OutboxBound bound;
@@ -135,6 +138,19 @@
         loop.execute(() -> connect(address));
     }
 
+    /** The same; one that is not up after so long is closed. */
+    public void dial(InetSocketAddress address, Handler to, long upWithinMs) {
+        handler = to;
+        loop.execute(() -> {
+            connect(address);
+            loop.after(upWithinMs, () -> {
+                if (phase() == Phase.DIALLING) {
+                    close(NOT_UP_IN_TIME);
+                }
+            });
+        });
+    }
+
     /** Starts to read and write an accepted connection. */
     public void start(Handler to) {
         handler = to;
