Serve after a start only once the change log has answered, or 1.5 s later

Cause: the first question went out when the process was ready to serve, with nobody waiting for its answer; where its connect failed, requests went by the configuration's list until a later try. Evidence: aStartDoesNotServeByAListThatItCouldNotAskForYet (connects to the change log fail with ENETUNREACH during the start): before, ready while none had come through, and s-1, which drains, was sent requests; now not ready until the answer, and s-2 alone is reached. With no change log (DescriptorsIT) a start takes 1.5 s longer and serves by the list that it has, with a warning.

--- a/frontend/src/main/java/quincespar/program/FrontEnd.java
+++ b/frontend/src/main/java/quincespar/program/FrontEnd.java
@@ -61,6 +61,9 @@
     private static final double LAST_LOOKS_MS = 400;
     /** What came last may lie unread for so long, on a part of a core: stopped before, it would be lost. */
     private static final double SETTLE_MS = 300;
+    /** How long a start waits for the change log's first answer. */
+    private static final double FIRST_LIST_MS = 1500;
+    private static final long LIST_LOOK_MS = 20;
     /** Descriptors: a third is the clients' by the protocol; the rest covers theirs that linger, and ours. */
     private static final double CLIENT_SHARE = 0.45;
     /**
@@ -200,7 +203,7 @@
         return listener.port();
     }
 
-    private void start() throws IOException {
+    private void start() throws IOException, InterruptedException {
         if (siblings.beside()) {
             inputs.add(new Input.Places(Math.min(bounds.callers(), (int) (configuration.sockets() * BESIDE_REVIEW))));
             front.places((int) (configuration.sockets() * BESIDE_SHARE));
@@ -210,6 +213,7 @@
         engineLoop.start();
         perform(reducer.start(clock.now(), configuration.changeLog(), configuration.known().events(), siblings.beside()));
         publish();
+        awaitList(clock.now() + FIRST_LIST_MS);
         if (lifecycle.phase() != Phase.STARTING) {
             return; // told to stop meanwhile
         }
@@ -225,6 +229,16 @@
         log.info("{}: serving on {}", configuration.name(), configuration.listen());
     }
 
+    /** The list of the start is as old as the start: servers may drain since. It is served by only where nobody answers. */
+    private void awaitList(double until) throws InterruptedException {
+        while (!reducer.listConfirmed() && clock.now() < until && lifecycle.phase() == Phase.STARTING) {
+            step(inputs.take(LIST_LOOK_MS));
+        }
+        if (!reducer.listConfirmed() && lifecycle.phase() == Phase.STARTING) {
+            log.warn("{}: the change log has not answered yet; serving by the list of the start", configuration.name());
+        }
+    }
+
     private void stands(Standing s) {
         if (fellows != null) {
             fellows.stands(s);
--- a/frontend/src/test/java/quincespar/program/SystemCallFaultsIT.java
+++ b/frontend/src/test/java/quincespar/program/SystemCallFaultsIT.java
@@ -146,6 +146,19 @@
         assertThat(reached).containsOnly("s-2");
     }
 
+    @Test
+    void aStartDoesNotServeByAListThatItCouldNotAskForYet() throws Exception {
+        Fault connects = faults.fail(Call.CONNECT, Errno.ENETUNREACH, changes.server.getLocalPort());
+        changes.answers.add(drain());
+        launch();
+        connects.untilStruck(3);
+        assertThat(Peers.status(admin)).isNotEqualTo(200);
+        connects.end();
+        Peers.untilReady(admin);
+        askAll("lookup", 0);
+        assertThat(reached).containsOnly("s-2");
+    }
+
     @Test
     void anInterruptedReadIsNotTakenForTheEndOfAConnection() throws Exception {
         start();
