Try a new configuration again where its file can't be read for a moment

Cause: any IOException (ENFILE, EIO) while the file was read turned the whole configuration down for good. Evidence: aConfigurationThatCanNotBeOpenedForAMomentIsReadAgain, where open fails with ENFILE at SIGHUP: before, no second try in 120 s; now the new change log is asked.

--- a/frontend/src/main/java/quincespar/program/Configuration.java
+++ b/frontend/src/main/java/quincespar/program/Configuration.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.InvalidPathException;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.util.Map;
 import quincespar.membership.Pace;
@@ -50,8 +51,10 @@
                 return good;
             }
             throw new IllegalArgumentException("configuration " + file + ": " + ((ConfigurationCheck.Bad) r).line());
-        } catch (IOException | InvalidPathException e) {
+        } catch (NoSuchFileException | InvalidPathException e) {
             throw new IllegalArgumentException("can't read " + file + ": " + e.getMessage(), e);
+        } catch (IOException e) {
+            throw new UnreadableException("can't read " + file + ": " + e.getMessage(), e);
         }
     }
 
--- a/frontend/src/main/java/quincespar/program/FrontEnd.java
+++ b/frontend/src/main/java/quincespar/program/FrontEnd.java
@@ -40,7 +40,6 @@
 import quincespar.settings.Settings;
 import quincespar.transport.EventLoop;
 import quincespar.transport.Listener;
-import quincespar.transport.Threads;
 
 /** The running front end: wires the layers, and runs the one thread that feeds the reducer. */
 final class FrontEnd {
@@ -83,7 +82,7 @@
     private final Standstill standstill = new Standstill();
     private final Intake inputs = new Intake();
     private final Timers timers = new Timers(inputs::add);
-    private final Map<String, String> environment;
+    private final ConfigurationReader configurations;
     private final Logs logs;
     private final Configuration configuration;
     /** The document that was taken last, on the reducer's thread: a new one must not lack what it has. */
@@ -119,7 +118,7 @@
      */
     FrontEnd(Map<String, String> environment, Settings settings, FleetSettings fleet, RecoverySettings recovery, Logs logs)
             throws IOException {
-        this.environment = environment;
+        configurations = new ConfigurationReader(environment, clock, timers, inputs::add);
         this.logs = logs;
         ConfigurationCheck.Good read = Configuration.read(environment, null);
         inForce = read.document();
@@ -347,17 +346,6 @@
         inputs.add(new Input.Hangup());
     }
 
-    /** Holds the file as it is now against what is in force; of several at once the reducer takes the last one only. */
-    private void reread(long serial, Map<String, Object> held) {
-        try {
-            ConfigurationCheck.Good read = Configuration.read(environment, held);
-            inputs.add(new Input.Reconfigured(serial, read.configuration().changeLog(), read.configuration().site(),
-                    read.document()));
-        } catch (RuntimeException e) { // whatever is wrong with the new file, the old one stays in force
-            inputs.add(new Input.ReconfigureFailed(serial, e.getMessage()));
-        }
-    }
-
     private void stop() throws InterruptedException {
         front.finish();
         double until = clock.now() + FLUSH_MS;
@@ -428,8 +416,7 @@
         } else if (effect instanceof Effect.Uncaught e) {
             uncaught(e.where(), e.error());
         } else if (effect instanceof Effect.Reread e) {
-            Map<String, Object> held = inForce;
-            Threads.daemon("reread", () -> reread(e.serial(), held)).start();
+            configurations.read(e.serial(), inForce);
         } else if (effect instanceof Effect.InForce e) {
             inForce = e.document();
         } else if (effect instanceof Effect.Adopt e) {
--- a/frontend/src/test/java/quincespar/program/SystemCallFaultsIT.java
+++ b/frontend/src/test/java/quincespar/program/SystemCallFaultsIT.java
@@ -203,4 +203,16 @@
         asking.join();
         assertThat(reached).containsOnly("s-2");
     }
+
+    @Test
+    void aConfigurationThatCanNotBeOpenedForAMomentIsReadAgain() throws Exception {
+        start();
+        Peers.Changes moved = new Peers.Changes();
+        configuration(moved.server.getLocalPort());
+        Fault opens = faults.failOpen(Errno.ENFILE, "config.json");
+        new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).inheritIO().start().waitFor();
+        opens.untilStruck(2);
+        opens.end();
+        assertThat(moved.questions.poll(10, TimeUnit.SECONDS)).startsWith("GET /changes?since=1&");
+    }
 }
