Go on after a wait for events that failed, in place of ending the loop

Cause: EventLoop.run took any IOException for the lack of a selector. Change: the wait is tried again after 10 ms; only a closed selector ends a loop.

--- a/frontend/src/main/java/quincespar/transport/EventLoop.java
+++ b/frontend/src/main/java/quincespar/transport/EventLoop.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.locks.LockSupport;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -34,6 +35,8 @@
 
     private record Due(long at, Runnable task) { }
 
+    /** Between two waits for events that fail. */
+    private static final long RETRY_MS = 10;
     private static final int CHUNK = 16 * 1024;
 
     private final String name;
@@ -126,9 +129,12 @@
                 } else {
                     selector.select(this::ready, wait);
                 }
-            } catch (IOException | ClosedSelectorException e) {
-                log.error("loop {}: the system gives no selector, nothing can be served", name, e);
+            } catch (ClosedSelectorException e) {
+                log.error("loop {}: its selector is closed, nothing can be served", name, e);
                 ended = true;
+            } catch (IOException e) {
+                log.error("loop {}: waiting failed, tried again in {} ms: {}", name, RETRY_MS, e.getMessage());
+                LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(RETRY_MS));
             } catch (RuntimeException | OutOfMemoryError e) {
                 log.error("loop {}", name, e);
             }
--- a/frontend/src/test/java/quincespar/program/SystemCallFaultsIT.java
+++ b/frontend/src/test/java/quincespar/program/SystemCallFaultsIT.java
@@ -215,4 +215,21 @@
         opens.end();
         assertThat(moved.questions.poll(10, TimeUnit.SECONDS)).startsWith("GET /changes?since=1&");
     }
+
+    @Test
+    void aFailedWaitForEventsEndsNothing() throws Exception {
+        start();
+        Fault waits = faults.fail(Call.EPOLL_WAIT, Errno.EIO, 0);
+        askUnheard();
+        waits.untilStruck(10);
+        waits.end();
+        askAll("lookup", 0);
+        assertThat(Map.of("alive", process.isAlive())).containsEntry("alive", true);
+    }
+
+    /** Has the loops wake up; nothing may come back yet. */
+    private void askUnheard() throws IOException {
+        Peers.Client c = new Peers.Client(port);
+        c.call(1, Peers.fields("lookup", "00000000000000bb"));
+    }
 }
