Take what waits to be accepted at a stop though accept fails for a moment

What callers saw in the reproduction: 'connection reset' under a request that was written whole to a connection which the system had taken, at a planned restart. Cause: Listener.close took the first failure of accept (ENFILE, ENOBUFS) for an empty queue and closed, and the system resets what waits there. Evidence: whatWaitsToBeAcceptedAtTheStopIsTakenThoughAcceptFailsForAMoment ended with 'Connection reset' on the code before; now the request is answered. Change: accept tells taken, none and failed apart; at the close a failure is tried again every 20 ms for 1 s, and the stop's next steps begin after the close.

--- a/frontend/src/main/java/quincespar/program/FrontEnd.java
+++ b/frontend/src/main/java/quincespar/program/FrontEnd.java
@@ -294,10 +294,12 @@
             double until = killedAt(LONGEST_LEAVE_MS);
             front.leave();
             timers.after(LEAVING_MS, () -> {
-                listener.close(() -> lifecycle.enter(Phase.SETTLING));
-                timers.after(SETTLE_MS, () -> {
-                    inputs.add(new Input.TurnsAway());
-                    clientLoop.afterPass(() -> moveSome(until));
+                listener.close(() -> {
+                    lifecycle.enter(Phase.SETTLING);
+                    timers.after(SETTLE_MS, () -> {
+                        inputs.add(new Input.TurnsAway());
+                        clientLoop.afterPass(() -> moveSome(until));
+                    });
                 });
             });
         }
--- a/frontend/src/main/java/quincespar/transport/Listener.java
+++ b/frontend/src/main/java/quincespar/transport/Listener.java
@@ -6,6 +6,7 @@
 import java.nio.channels.SelectionKey;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
+import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -25,6 +26,10 @@
     /** Accepted in a pass, so that a crowd that connects does not keep those waiting that have asked. */
     private static final int ACCEPTS = 16;
     private static final long PAUSE_MS = 20;
+    /** At the close, accepting is tried again for so long where it fails. */
+    private static final long CLOSE_RETRY_MS = 1000;
+
+    private enum Accepted { TAKEN, NONE_WAITS, FAILED }
 
     private final EventLoop loop;
     private final InetSocketAddress address;
@@ -98,25 +103,27 @@
                 key.interestOps(0);
                 return;
             }
-            if (!acceptOne()) {
+            Accepted one = acceptOne();
+            if (one == Accepted.FAILED) {
+                pause();
+            }
+            if (one != Accepted.TAKEN) {
                 return;
             }
         }
     }
 
-    /** False where none waits, or one that can't be had. */
-    private boolean acceptOne() {
+    private Accepted acceptOne() {
         try {
             SocketChannel c = channel.accept();
             if (c == null) {
-                return false;
+                return Accepted.NONE_WAITS;
             }
             taker.take(c);
-            return true;
+            return Accepted.TAKEN;
         } catch (IOException e) { // out of descriptors, or a client gone before it was accepted
             log.warn("listener: {}", e.getMessage());
-            pause();
-            return false;
+            return Accepted.FAILED;
         }
     }
 
@@ -129,7 +136,8 @@
     }
 
     /**
-     * Accepts all that wait in the system's queue, room or not, and then no more; {@code closed} follows. What comes
+     * Accepts all that wait in the system's queue, room or not, and then no more; {@code closed} follows. Where accepting
+     * fails for a moment it is tried again for a while, as the close resets whatever waits. What comes
      * between the last accept and the close is reset by the system: guards against more than a moment there. A channel
      * that is still on the loop is closed by the loop's next look only, so it is taken off first.
      */
@@ -140,14 +148,27 @@
                 if (key != null) {
                     loop.forget(key);
                 }
-                while (key != null && acceptOne()) {
-                    continue;
-                }
-                channel.close();
             } catch (IOException e) {
                 log.warn("listener: closing: {}", e.getMessage());
             }
-            closed.run();
+            closeOnceEmpty(System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(CLOSE_RETRY_MS), closed);
         });
     }
+
+    private void closeOnceEmpty(long until, Runnable closed) {
+        Accepted last = key == null ? Accepted.NONE_WAITS : acceptOne();
+        while (last == Accepted.TAKEN) {
+            last = acceptOne();
+        }
+        if (last == Accepted.FAILED && System.nanoTime() - until < 0) {
+            loop.after(PAUSE_MS, () -> closeOnceEmpty(until, closed));
+            return;
+        }
+        try {
+            channel.close();
+        } catch (IOException e) {
+            log.warn("listener: closing: {}", e.getMessage());
+        }
+        closed.run();
+    }
 }
--- a/frontend/src/test/java/quincespar/program/SystemCallFaultsIT.java
+++ b/frontend/src/test/java/quincespar/program/SystemCallFaultsIT.java
@@ -204,6 +204,26 @@
         assertThat(reached).containsOnly("s-2");
     }
 
+    @Test
+    void whatWaitsToBeAcceptedAtTheStopIsTakenThoughAcceptFailsForAMoment() throws Exception {
+        start();
+        Fault accepts = faults.fail(Call.ACCEPT, Errno.ENFILE, port);
+        try (Peers.Client c = new Peers.Client(port)) {
+            c.call(1, Peers.fields("lookup", "00000000000000aa"));
+            accepts.untilStruck(1);
+            Peers.term(process);
+            while (!Files.readString(folder.resolve("log")).contains("closing the listener")) {
+                Peers.goOnWaiting();
+            }
+            long before = accepts.struck();
+            while (accepts.struck() < before + 2 && !c.ended()) { // it tries on, or has given the client up
+                Peers.goOnWaiting();
+            }
+            accepts.end();
+            assertThat(c.answer()).isIn(Peers.Kind.SERVED, Peers.Kind.REFUSED);
+        }
+    }
+
     @Test
     void aConfigurationThatCanNotBeOpenedForAMomentIsReadAgain() throws Exception {
         start();
