Go on with a start whose first calls fail for a moment, and play faults by chance

What callers would see: a front end that ends at its start ('failed start') because one open or socket failed (EIO, ENFILE, ENOBUFS). Cause: each of the start's calls was tried once. Evidence: aStartGoesOnThoughItsFirstCallsFailForA- Moment (open of the configuration EIO, socket ENFILE, twice each) never became ready before, and does now.

--- a/frontend/src/main/java/quincespar/program/FrontEnd.java
+++ b/frontend/src/main/java/quincespar/program/FrontEnd.java
@@ -40,6 +40,7 @@
 import quincespar.settings.Settings;
 import quincespar.transport.EventLoop;
 import quincespar.transport.Listener;
+import quincespar.transport.Retry;
 
 /** The running front end: wires the layers, and runs the one thread that feeds the reducer. */
 final class FrontEnd {
@@ -120,7 +121,7 @@
             throws IOException {
         configurations = new ConfigurationReader(environment, clock, timers, inputs::add);
         this.logs = logs;
-        ConfigurationCheck.Good read = Configuration.read(environment, null);
+        ConfigurationCheck.Good read = readAtStart(environment);
         inForce = read.document();
         Configuration c = read.configuration();
         configuration = c;
@@ -159,6 +160,16 @@
         changes = new ChangeLog(engineLoop, inputs::addFromPeer);
     }
 
+    private static ConfigurationCheck.Good readAtStart(Map<String, String> environment) throws IOException {
+        return Retry.atStart(() -> {
+            try {
+                return Configuration.read(environment, null);
+            } catch (UnreadableException e) {
+                throw new IOException(e.getMessage(), e);
+            }
+        });
+    }
+
     /** Serves until told to stop and all that was taken is answered; throws where the address can't be bound. */
     void run() throws IOException, InterruptedException {
         try {
--- a/frontend/src/main/java/quincespar/transport/EventLoop.java
+++ b/frontend/src/main/java/quincespar/transport/EventLoop.java
@@ -52,7 +52,7 @@
     /** A loop that is not yet started; throws {@link IOException} where the system gives no selector. */
     public EventLoop(String name) throws IOException {
         this.name = name;
-        selector = Selector.open();
+        selector = Retry.atStart(Selector::open);
         thread = Threads.daemon(name, this::run);
     }
 
--- a/frontend/src/main/java/quincespar/transport/Listener.java
+++ b/frontend/src/main/java/quincespar/transport/Listener.java
@@ -52,7 +52,7 @@
     public Listener(EventLoop loop, InetSocketAddress address, boolean shared) throws IOException {
         this.loop = loop;
         this.address = address;
-        channel = ServerSocketChannel.open();
+        channel = Retry.atStart(ServerSocketChannel::open);
         channel.configureBlocking(false);
         channel.setOption(StandardSocketOptions.SO_REUSEADDR, true); // a planned restart binds it again at once
         try {
@@ -68,7 +68,7 @@
      * {@link #start}. Throws {@link IOException} where the address can't be bound.
      */
     public void bind() throws IOException {
-        channel.bind(address, BACKLOG);
+        Retry.atStart(() -> channel.bind(address, BACKLOG));
     }
 
     /** The port that is bound. */
--- a/frontend/src/test/java/quincespar/program/SystemCallFaultsIT.java
+++ b/frontend/src/test/java/quincespar/program/SystemCallFaultsIT.java
@@ -3,9 +3,14 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
@@ -14,6 +19,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import quincespar.program.SystemCallFaults.Call;
 import quincespar.program.SystemCallFaults.Errno;
 import quincespar.program.SystemCallFaults.Fault;
@@ -24,6 +31,9 @@
     private static final String LOOKUP = Peers.LOOKUP;
     private static final String LOAD = "{\"name\":\"load\",\"slo\":2000,\"hardLimit\":4000,\"effect\":\"unsafe\"}";
     private static final long NEXT_QUESTION_MS = 500;
+    private static final int CLIENTS = 8, ROUNDS = 10;
+    /** Where the number of a call stands in an answer's frame, behind version, length and name. */
+    private static final int NUMBER_AT = 12;
 
     @TempDir
     private Path folder;
@@ -159,6 +169,19 @@
         assertThat(reached).containsOnly("s-2");
     }
 
+    @Test
+    void aStartGoesOnThoughItsFirstCallsFailForAMoment() throws Exception {
+        Fault opens = faults.failOpen(Errno.EIO, "config.json");
+        Fault sockets = faults.fail(Call.SOCKET, Errno.ENFILE, 0);
+        launch();
+        opens.untilStruck(2);
+        opens.end();
+        sockets.untilStruck(2);
+        sockets.end();
+        Peers.untilReady(admin);
+        askAll("lookup", 0);
+    }
+
     @Test
     void anInterruptedReadIsNotTakenForTheEndOfAConnection() throws Exception {
         start();
@@ -247,6 +270,47 @@
         assertThat(Map.of("alive", process.isAlive())).containsEntry("alive", true);
     }
 
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 3})
+    void everyRequestIsAnsweredOnceWhileCallsFailByChance(int seed) throws Exception {
+        start();
+        faults.failSome(Call.READ, Errno.EINTR, 0, 100, seed);
+        faults.failSome(Call.WRITE, Errno.EAGAIN, 0, 100, seed + 1);
+        faults.failSome(Call.WRITE, Errno.EINTR, 0, 50, seed + 2);
+        faults.failSome(Call.POLL, Errno.EINTR, 0, 300, seed + 3);
+        faults.failSome(Call.ACCEPT, Errno.ENOBUFS, port, 300, seed + 4);
+        faults.failSome(Call.CONNECT, Errno.EADDRNOTAVAIL, other.server.getLocalPort(), 300, seed + 5);
+        faults.failSome(Call.SOCKET, Errno.ENFILE, 0, 100, seed + 6);
+        faults.shorten(Call.READ, 100, 0);
+        Fault writes = faults.shorten(Call.WRITE, 50, 0);
+        List<CompletableFuture<Void>> clients = new ArrayList<>();
+        for (int i = 0; i < CLIENTS; i++) {
+            int first = i * ROUNDS * 100;
+            clients.add(Peers.beside(() -> {
+                for (int round = 0; round < ROUNDS; round++) {
+                    askForAnyAnswer(first + 100 * round);
+                }
+            }));
+        }
+        clients.forEach(CompletableFuture::join);
+        assertThat(writes.struck()).isPositive();
+        assertThat(process.isAlive()).isTrue();
+    }
+
+    /** Each request has one answer of any kind, and none comes beside them. */
+    private void askForAnyAnswer(int from) throws IOException {
+        try (Peers.Client c = new Peers.Client(port)) {
+            for (int i = 1; i <= 20; i++) {
+                c.call(i, Peers.fields(i % 5 == 0 ? "load" : "lookup", String.format("%016x", from + i)));
+            }
+            Set<Integer> answered = new HashSet<>();
+            for (int i = 1; i <= 20; i++) {
+                assertThat(answered.add(ByteBuffer.wrap(c.frame()).getInt(NUMBER_AT))).isTrue();
+            }
+            assertThat(c.ended()).isFalse();
+        }
+    }
+
     /** Has the loops wake up; nothing may come back yet. */
     private void askUnheard() throws IOException {
         Peers.Client c = new Peers.Client(port);
