Hold new work while failing calls here keep the list from being asked past the grace

Quick retries end that as soon as the calls work again, but a failure that lasts longer than the grace still broke the rule, as sends go on by the old list on connections that are up. Change: where connects fail here at once (EADDRNOTAVAIL, ENETUNREACH, ENFILE; not refused, slow or broken off), all servers count as draining from 450 ms before the grace is over, until the change log answers or 5 s beyond it (change-log hold).

--- a/frontend/src/main/java/quincespar/membership/Membership.java
+++ b/frontend/src/main/java/quincespar/membership/Membership.java
@@ -38,6 +38,12 @@
     /** An event was told that had not been told before; {@code removed} are those that a complete list left out. */
     public record Learned(FleetEvent event, List<Member> removed) implements Act { }
 
+    /**
+     * Nothing new may be sent to any server from now on, or may again: servers may have been told to drain that this machine's
+     * own failing calls keep it from hearing of, and their grace is over.
+     */
+    public record Hold(boolean on) implements Act { }
+
     /** Tell the operators. */
     public record Say(String line) implements Act { }
 
@@ -56,6 +62,9 @@
     /** Pauses and times to connect double this often at the most. */
     private static final int MOST_DOUBLINGS = 5;
 
+    /** What is on its way to a server when a hold begins has so long to go out within the grace. */
+    private static final double HOLD_MARGIN_MS = 200;
+
     private final Pace pace;
     private final Members members = new Members();
     private List<Act> acts = new ArrayList<>();
@@ -73,6 +82,12 @@
     private int unreached;
     private int slowConnects;
     private boolean answeredOnce;
+    /** How long a server that has been told to drain may still be sent work; 0 where there is no such rule. */
+    private double graceMs;
+    /** Since when events may have been told that were not heard: the end of the last question that was in place. */
+    private double lostAt;
+    private boolean failedHere;
+    private boolean held;
     private double askedWaitMs;
     /** Failed questions since the last whole answer. */
     private int failuresInARow;
@@ -90,6 +105,7 @@
     public List<Act> start(double time, String at, List<FleetEvent> known) {
         now = time;
         answeredAt = time;
+        lostAt = time;
         address = at;
         learn(known);
         ask();
@@ -115,6 +131,7 @@
             slowConnects = 0;
             toldStale = false;
             answeredOnce = true;
+            failedHere = false;
             answeredAt = now;
             acts.add(new Forget(wait));
             learn(events);
@@ -126,6 +143,7 @@
             } else {
                 ask();
             }
+            review();
         }
         return taken();
     }
@@ -135,6 +153,7 @@
         now = Math.max(now, time);
         if (phase == Phase.ASKING && asked == question) {
             failed(how, cause);
+            review();
         }
         return taken();
     }
@@ -148,6 +167,7 @@
             } else if (phase == Phase.PAUSING) {
                 ask();
             }
+            review();
         }
         return taken();
     }
@@ -169,6 +189,11 @@
         return taken();
     }
 
+    /** The rule's grace from now on: how long a server that has been told to drain may still be sent work. */
+    public void grace(double ms) {
+        graceMs = ms;
+    }
+
     /** Whether the change log has answered whole since the start. */
     public boolean answeredOnce() {
         return answeredOnce;
@@ -230,6 +255,8 @@
     }
 
     private void failed(Failure how, String cause) {
+        lostAt = failuresInARow == 0 ? now : lostAt;
+        failedHere = how == Failure.FAILED_HERE;
         failuresInARow++;
         failuresInAll++;
         acts.add(new Say("change log: question " + question + " from event " + taken + " failed after "
@@ -259,6 +286,22 @@
         await(ms);
     }
 
+    /**
+     * Holds what would be sent from shortly before the grace is over until the change log answers, fails in another way, or
+     * the longest hold has passed: a change log that is down or can't be reached stops nothing.
+     */
+    private void review() {
+        double graceEnds = lostAt + graceMs;
+        boolean hold = graceMs > 0 && failedHere && now + pace.unreachedPauseMs() + HOLD_MARGIN_MS >= graceEnds
+                && now < graceEnds + pace.holdMs();
+        if (hold != held) {
+            held = hold;
+            acts.add(new Say(hold ? "nothing new is sent: this machine could not ask the change log for "
+                    + Math.round(now - lostAt) + " ms" : "what waits is sent again"));
+            acts.add(new Hold(hold));
+        }
+    }
+
     private static double doubled(double ms, int times) {
         return ms * (1 << Math.min(times, MOST_DOUBLINGS));
     }
--- a/frontend/src/main/java/quincespar/membership/Pace.java
+++ b/frontend/src/main/java/quincespar/membership/Pace.java
@@ -9,7 +9,8 @@
  * @param longestPauseMs the longest pause after a question that reached the change log
  * @param unreachedPauseMs the longest pause after a question that did not: it has cost the change log nothing
  * @param connectMs how long a connection may take to come up, at first; it doubles with each that took longer
+ * @param holdMs how long nothing is sent, at the most, while this machine's own failing calls keep it from asking
  * @param staleMs the age of the last whole answer from which the list is called stale
  */
 public record Pace(long waitMs, double slackMs, double pauseMs, double longestPauseMs, double unreachedPauseMs, double connectMs,
-        double staleMs) { }
+        double holdMs, double staleMs) { }
--- a/frontend/src/main/java/quincespar/program/Configuration.java
+++ b/frontend/src/main/java/quincespar/program/Configuration.java
@@ -30,7 +30,7 @@
                 s.count(Keyword.LINKS_PER_ENGINE), s.count(Keyword.LINKS_SHARED), s.number(Keyword.LINKS_MIDWAY),
                 new Pace((long) s.number(Keyword.CHANGES_WAIT), s.number(Keyword.CHANGES_SLACK),
                         s.number(Keyword.CHANGES_PAUSE), s.number(Keyword.CHANGES_LONGEST_PAUSE),
-                        s.number(Keyword.CHANGES_UNREACHED_PAUSE), s.number(Keyword.CHANGES_CONNECT),
+                        s.number(Keyword.CHANGES_UNREACHED_PAUSE), s.number(Keyword.CHANGES_CONNECT), s.number(Keyword.CHANGES_HOLD),
                         s.number(Keyword.CHANGES_STALE)));
     }
 
--- a/frontend/src/main/java/quincespar/program/engines/ChangeLog.java
+++ b/frontend/src/main/java/quincespar/program/engines/ChangeLog.java
@@ -100,8 +100,17 @@
 
         @Override
         public void closed(String cause) {
-            post.accept(new Input.ChangesFailed(last, up ? Failure.UNANSWERED : cause.equals(Connection.NOT_UP_IN_TIME)
-                    ? Failure.SLOW_CONNECT : Failure.UNREACHED, cause));
+            post.accept(new Input.ChangesFailed(last, how(cause), cause));
+        }
+
+        private Failure how(String cause) {
+            if (up) {
+                return Failure.UNANSWERED;
+            }
+            if (connection.failedHere()) {
+                return Failure.FAILED_HERE;
+            }
+            return cause.equals(Connection.NOT_UP_IN_TIME) ? Failure.SLOW_CONNECT : Failure.UNREACHED;
         }
     }
 }
--- a/frontend/src/main/java/quincespar/routing/Fleet.java
+++ b/frontend/src/main/java/quincespar/routing/Fleet.java
@@ -20,7 +20,7 @@
         final long number;
         final List<Link> links = new ArrayList<>();
         FleetEvent.Member listed;
-        /** It takes nothing all the same: it had left before a loss of power. */
+        /** It takes nothing all the same: it had left before a loss of power, or all are held. */
         boolean withheld;
 
         Engine(long number, FleetEvent.Member listed) {
@@ -38,6 +38,7 @@
     private long revision;
     private final Map<Long, Engine> engines = new LinkedHashMap<>();
     private boolean listed;
+    private boolean held;
 
     Fleet(Site site, Returning returning) {
         this.returning = returning;
@@ -87,6 +88,11 @@
         return new Gateway.Listed(kind, event.revision(), told);
     }
 
+    /** None takes anything new from the next {@link #adopt} on, or each does again as it is listed. */
+    void hold(boolean on) {
+        held = on;
+    }
+
     /** Drops engines that are gone and have no link left. */
     void tidy() {
         engines.values().removeIf(e -> e.listed.phase() == Phase.REMOVED && e.links.isEmpty());
@@ -95,7 +101,7 @@
     /** The whole list again, as the names of these settings number zones and kinds. */
     Gateway.Listed adopt(Site next) {
         site = next;
-        engines.values().forEach(e -> e.withheld = returning.withholds(e.listed));
+        engines.values().forEach(e -> e.withheld = held || returning.withholds(e.listed));
         return new Gateway.Listed(Gateway.ListKind.FULL, revision, engines.values().stream()
                 .filter(e -> e.listed.phase() != Phase.REMOVED).map(this::word).toList());
     }
@@ -105,7 +111,7 @@
         Engine e = engines.computeIfAbsent(number, n -> new Engine(n, m));
         e.listed = m;
         returning.engine(m);
-        e.withheld = returning.withholds(m);
+        e.withheld = held || returning.withholds(m);
         return e;
     }
 
--- a/frontend/src/main/java/quincespar/routing/Roster.java
+++ b/frontend/src/main/java/quincespar/routing/Roster.java
@@ -28,6 +28,7 @@
         this.attempts = attempts;
         this.ledger = ledger;
         membership = new Membership(bounds.changes());
+        membership.grace(turn.site.module().rules().drainGrace());
         fellows = new Fellows(turn.site);
     }
 
@@ -108,6 +109,10 @@
                 sayWhoLeaves(a);
                 turn.event(fleet.take(a.event(), a.removed()));
                 news = true;
+            } else if (act instanceof Membership.Hold a) {
+                fleet.hold(a.on());
+                turn.event(fleet.adopt(turn.site));
+                news = true;
             } else if (act instanceof Membership.Say a) {
                 turn.effect(new Effect.Log(a.line()));
             }
@@ -179,6 +184,7 @@
     private void adopt(Site next) {
         if (!next.equals(turn.site)) {
             turn.site = next;
+            membership.grace(next.module().rules().drainGrace());
             ledger.classes(turn.site.classNames());
             returning.classes(turn.site);
             turn.effect(new Effect.Adopt(turn.site));
--- a/frontend/src/main/java/quincespar/settings/Keyword.java
+++ b/frontend/src/main/java/quincespar/settings/Keyword.java
@@ -48,6 +48,10 @@
     /** How long a connection may take. */
     CHANGES_CONNECT("change-log", "connect", Type.TIME, "400ms", 10, 60_000,
             "How long a connection may take to come up; it doubles with each that took longer."),
+    /** How long nothing is sent. */
+    CHANGES_HOLD("change-log", "hold", Type.TIME, "5s", 10, 3_600_000,
+            "Nothing new is sent for so long at the most where this machine's own failing calls keep it from asking beyond the grace"
+            + " of servers that drain."),
     /** When a list is stale. */
     CHANGES_STALE("change-log", "stale-after", Type.TIME, "10s", 1000, 3_600_000,
             "With no whole answer for so long the list is logged as stale; it stays in use."),
--- a/frontend/src/main/java/quincespar/transport/Connection.java
+++ b/frontend/src/main/java/quincespar/transport/Connection.java
@@ -1,7 +1,9 @@
 package quincespar.transport;
 
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
+import java.net.NoRouteToHostException;
 import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
@@ -109,6 +111,7 @@
     private Handler handler;
     private Phase phase = Phase.NEW;
     private boolean gone;
+    private volatile boolean failedHere;
     private int pending;
     private int dropped;
     /** When the peer last took something of what is queued, or the first of it was queued. */
@@ -186,11 +189,19 @@
                 handler.opened();
                 up();
             }
+        } catch (ConnectException | NoRouteToHostException e) {
+            close("connect: " + e.getMessage());
         } catch (IOException | UnresolvedAddressException e) {
+            failedHere = true;
             close("connect: " + e.getMessage());
         }
     }
 
+    /** Whether it is over because this machine could not even begin to connect, as where it has no address or descriptor left. */
+    public boolean failedHere() {
+        return failedHere;
+    }
+
     /** Queues a frame; false where the outbox is full or the connection over, and then nothing goes out. */
     public boolean send(byte[] bytes) {
         return send(bytes, null, null);
--- a/frontend/src/test/java/quincespar/membership/FleetCallsTest.java
+++ b/frontend/src/test/java/quincespar/membership/FleetCallsTest.java
@@ -18,7 +18,7 @@
  */
 class FleetCallsTest {
     private static final int FRONTS = 100, MINUTE = 60_000;
-    private static final Pace PACE = new Pace(1000, 1000, 50, 1000, 250, 400, 10_000);
+    private static final Pace PACE = new Pace(1000, 1000, 50, 1000, 250, 400, 5000, 10_000);
 
     /** Takes calls and says nothing; breaks them off at once; answers late with no news, or at once, or with an old number. */
     private enum Trouble { STALLED, BROKEN_OFF, SLOW, EMPTY_AT_ONCE, OLD_NUMBER }
--- a/frontend/src/test/java/quincespar/membership/MembershipModelTest.java
+++ b/frontend/src/test/java/quincespar/membership/MembershipModelTest.java
@@ -27,7 +27,7 @@
 class MembershipModelTest {
     /** What the change log has to tell counts as told no later than this afterwards. */
     private static final double TOLD = 7000;
-    private static final Pace PACE = new Pace(1000, 1000, 50, 1000, 250, 400, 10_000);
+    private static final Pace PACE = new Pace(1000, 1000, 50, 1000, 250, 400, 5000, 10_000);
 
     /** What may happen; the number beside it in a step chooses which engine, question or timer. */
     private enum Op {
@@ -124,7 +124,7 @@
                 case HALF_ANSWER -> perform(membership.failed(now, take().number(), Failure.UNANSWERED, "half an answer"));
                 case RESET -> {
                     Question q = take();
-                    perform(membership.failed(now, q.number(), Failure.values()[s.pick() % 3], "reset"));
+                    perform(membership.failed(now, q.number(), Failure.values()[s.pick() % 4], "reset"));
                     perform(membership.failed(now, q.number(), Failure.UNANSWERED, "closed")); // and the end of the connection besides
                 }
                 case SILENCE -> nextTimer();
--- a/frontend/src/test/java/quincespar/program/SystemCallFaultsIT.java
+++ b/frontend/src/test/java/quincespar/program/SystemCallFaultsIT.java
@@ -95,7 +95,7 @@
         return Files.writeString(folder.resolve("config.json"), """
             {"name":"n1","listen":"127.0.0.1:%d","seed":"1","limits":{"sockets":128},"changelog":"127.0.0.1:%d",
              "known":{"seq":1,"results":[{"seq":1,"fleet":{"revision":1,"complete":true,"members":[%s,%s]}}]},
-             "settings":{"tick":5,"limits":{"cancelling":true,"maxAttempts":3,"maxStreams":100},
+             "settings":{"tick":5,"rules":{"drainGrace":1000},"limits":{"cancelling":true,"maxAttempts":3,"maxStreams":100},
              "projects":[{"name":"acme","quotaPerS":500,"share":1}],"requestClasses":[%s,%s]}}
             """.formatted(port, changeLog, member("s-1", draining, "up"), member("s-2", other, "up"), LOOKUP, LOAD));
     }
@@ -156,6 +156,36 @@
         assertThat(reached).containsOnly("s-2");
     }
 
+    @Test
+    void nothingGoesToADrainingServerPastItsGraceWhileConnectsFail() throws Exception {
+        start();
+        assertThat(nextQuestion()).startsWith("GET /changes?since=1&");
+        int changeLog = changes.server.getLocalPort();
+        Fault connects = faults.fail(Call.CONNECT, Errno.ENETUNREACH, changeLog);
+        Fault reads = faults.fail(Call.READ, Errno.ETIMEDOUT, changeLog);
+        changes.answers.add(drain());
+        reads.untilStruck(1);
+        reads.end();
+        while (!Files.readString(folder.resolve("log")).contains("nothing new is sent")) {
+            Peers.goOnWaiting();
+        }
+        reached.clear();
+        try (Peers.Client c = new Peers.Client(port)) {
+            for (int i = 1; i <= 20; i++) {
+                c.call(i, Peers.fields("lookup", String.format("%016x", i)));
+            }
+            Peers.status(admin); // a round trip: the requests are in by now
+            assertThat(reached).isEmpty();
+            connects.end();
+            changes.answers.add(drain());
+            for (int i = 1; i <= 20; i++) {
+                assertThat(c.answer()).isIn(Peers.Kind.SERVED, Peers.Kind.REFUSED);
+            }
+        }
+        askAll("lookup", 100);
+        assertThat(reached).containsOnly("s-2");
+    }
+
     @Test
     void aStartDoesNotServeByAListThatItCouldNotAskForYet() throws Exception {
         Fault connects = faults.fail(Call.CONNECT, Errno.ENETUNREACH, changes.server.getLocalPort());
--- a/frontend/src/test/java/quincespar/routing/FellowsTest.java
+++ b/frontend/src/test/java/quincespar/routing/FellowsTest.java
@@ -21,7 +21,7 @@
 
     private final List<Gateway.Configured> told = new ArrayList<>();
     private final Reducer reducer = new Reducer(RouterWorld.site(3, new Spec("a", "safe")), new Bounds(100, 1000, 2000, 2500, 8,
-            8, 500, new Pace(2000, 1000, 250, 1000, 250, 400, 10_000)), (now, events) -> {
+            8, 500, new Pace(2000, 1000, 250, 1000, 250, 400, 5000, 10_000)), (now, events) -> {
                 events.stream().filter(Gateway.Configured.class::isInstance).map(Gateway.Configured.class::cast)
                         .forEach(told::add);
                 return List.of();
--- a/frontend/src/test/java/quincespar/routing/ReducerTest.java
+++ b/frontend/src/test/java/quincespar/routing/ReducerTest.java
@@ -34,7 +34,7 @@
             pairs.putAll(Map.of("requestClasses." + c + ".slo", "800", "requestClasses." + c + ".hardLimit", "4000",
                     "requestClasses." + c + ".effect", c == 0 ? "safe" : "unsafe"));
         }
-        reducer = new Reducer(Site.of(pairs), new Bounds(3, 5, 2000, 2500, 8, 8, 500, new Pace(2000, 1000, 250, 1000, 250, 400, 10_000)), (time, events) -> {
+        reducer = new Reducer(Site.of(pairs), new Bounds(3, 5, 2000, 2500, 8, 8, 500, new Pace(2000, 1000, 250, 1000, 250, 400, 5000, 10_000)), (time, events) -> {
             decisions++;
             told.addAll(events);
             List<Gateway.Action> out = List.copyOf(plan);
--- a/frontend/src/test/java/quincespar/routing/RouterWorld.java
+++ b/frontend/src/test/java/quincespar/routing/RouterWorld.java
@@ -52,7 +52,7 @@
     RouterWorld(Site start, Recovery recovery) {
         site = start;
         reducer = new Reducer(site, new Bounds(100, 1000, 2000, 2500, 8, 8, 500,
-                new Pace(2000, 1000, 250, 1000, 250, 400, 10_000)), heard(new Brain(site.module(), 7)), recovery, true);
+                new Pace(2000, 1000, 250, 1000, 250, 400, 5000, 10_000)), heard(new Brain(site.module(), 7)), recovery, true);
         follow(reducer.start(now, "127.0.0.1:1", List.of(new FleetEvent(1, 1, true,
                 List.of(member("s-1", Phase.UP), member("s-2", Phase.UP))))));
     }
--- a/laboratory/src/main/java/quincespar/laboratory/LostFleet.java
+++ b/laboratory/src/main/java/quincespar/laboratory/LostFleet.java
@@ -216,7 +216,7 @@
             Site site = site(loss.fronts(), number);
             Recovery r = loss.returns() ? new Recovery(new quincespar.recovery.Pace(2000, 5000, 4000, 3000, 1000, 2000, STOOD), name, true,
                     Reducer.terms(site)) : null;
-            reducer = new Reducer(site, new Bounds(1000, 5000, 2000, 2500, 8, 8, 500, new Pace(2000, 1000, 250, 1000, 250, 400, 10_000)),
+            reducer = new Reducer(site, new Bounds(1000, 5000, 2000, 2500, 8, 8, 500, new Pace(2000, 1000, 250, 1000, 250, 400, 5000, 10_000)),
                     new Brain(site.module(), loss.seed() * 1000 + number), r, loss.returns());
             perform(reducer.start(EPOCH + time.now(), "10.0.0.2:1", List.of(new FleetEvent(1, 1, true, listed))));
             if (loss.returns()) {
