--- a/frontend/src/test/java/quincespar/program/SystemCallFaults.java
+++ b/frontend/src/test/java/quincespar/program/SystemCallFaults.java
@@ -41,7 +41,6 @@
     private final MappedByteBuffer rules;
     private final Path library;
     private final Path file;
-    private int used;
 
     private SystemCallFaults(MappedByteBuffer rules, Path library, Path file) {
         this.rules = rules;
@@ -117,8 +116,11 @@
     }
 
     private Fault begin(Call call, int error, int permille, int port, int mostBytes, int seed, String name) {
-        int at = used++ * RULE_BYTES;
-        rules.putInt(at + ERROR_AT, error).putInt(at + PERMILLE_AT, permille).putInt(at + PORT_AT, port)
+        int at = 0;
+        while (rules.getInt(at) != Call.NONE.ordinal()) {
+            at += RULE_BYTES; // more faults at a time than there are places is an error of the test
+        }
+        rules.putLong(at + STRUCK_AT, 0).putInt(at + ERROR_AT, error).putInt(at + PERMILLE_AT, permille).putInt(at + PORT_AT, port)
                 .putInt(at + MOST_BYTES_AT, mostBytes).putInt(at + RANDOM_AT, seed);
         ByteBuffer text = rules.duplicate();
         text.position(at + NAME_AT);
--- /dev/null
+++ b/frontend/src/test/java/quincespar/program/SystemCallSoakIT.java
@@ -0,0 +1,224 @@
+package quincespar.program;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.net.ConnectException;
+import java.nio.ByteBuffer;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Queue;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import quincespar.program.SystemCallFaults.Call;
+import quincespar.program.SystemCallFaults.Errno;
+import quincespar.program.SystemCallFaults.Fault;
+
+/**
+ * The jar as {@code run} starts it, while servers drain and come and one kind of system call after another fails for a moment,
+ * by seed. With -Dsoak.seeds=FROM-TO other seeds than those of each build.
+ */
+@Timeout(60)
+class SystemCallSoakIT {
+    private static final String SEEDS = System.getProperty("soak.seeds", "1-6");
+    private static final int SERVERS = 4, CLIENTS = 4, BATCH = 5;
+    private static final long SOAK_MS = 8000, STEP_MS = 20;
+    private static final double GRACE_MS = 1000, SLACK_MS = 150;
+    /** Where the number of a call stands in an answer's frame, behind version, length and name. */
+    private static final int NUMBER_AT = 12;
+
+    @TempDir
+    private Path folder;
+    private final ListedServers list = listed();
+    private final Deque<Peers.Engine> up = new ArrayDeque<>();
+    private final Deque<String> ids = new ArrayDeque<>();
+    private final Queue<String> broken = new ConcurrentLinkedQueue<>();
+    private final Set<String> loads = ConcurrentHashMap.newKeySet();
+    private final AtomicInteger asked = new AtomicInteger();
+    private final AtomicInteger answered = new AtomicInteger();
+    private volatile boolean over;
+    private int port;
+    private int servers;
+
+    private static ListedServers listed() {
+        try {
+            return new ListedServers();
+        } catch (IOException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    static List<Integer> seeds() {
+        String[] ends = SEEDS.split("-");
+        List<Integer> out = new ArrayList<>();
+        for (int seed = Integer.parseInt(ends[0]); seed <= Integer.parseInt(ends[1]); seed++) {
+            out.add(seed);
+        }
+        return out;
+    }
+
+    private void addServer() throws IOException {
+        Peers.Engine engine = new Peers.Engine();
+        String id = "s-" + ++servers;
+        Peers.beside(() -> serveAll(id, engine));
+        list.tell(id, engine.server.getLocalPort(), "up");
+        up.add(engine);
+        ids.add(id);
+    }
+
+    private void drainOldest() {
+        list.tell(ids.poll(), up.poll().server.getLocalPort(), "draining");
+    }
+
+    private void serveAll(String id, Peers.Engine engine) throws InterruptedException {
+        while (!over) {
+            Peers.Engine.Command c = engine.commands.poll(100, TimeUnit.MILLISECONDS);
+            if (c == null || !c.words().get(0).equals("serve")) {
+                continue;
+            }
+            double late = list.msSinceDrain(id, System.nanoTime());
+            if (late > GRACE_MS + SLACK_MS) {
+                broken.add("drain: " + c.id() + " came to " + id + " " + Math.round(late) + " ms after the notice");
+            }
+            if (c.words().get(2).contains("queue=load") && !loads.add(c.id())) {
+                broken.add("duplicate: load " + c.id() + " came twice");
+            }
+            try {
+                c.answer(c.id(), "DONE", "count=1", "row\ta\tb\n");
+            } catch (java.io.UncheckedIOException e) { // its connection has ended meanwhile
+                continue;
+            }
+        }
+    }
+
+    private void ask() throws IOException {
+        while (!over) {
+            List<String> txns = new ArrayList<>();
+            Set<Integer> open = new HashSet<>();
+            try (Peers.Client c = new Peers.Client(port)) {
+                for (int i = 1; i <= BATCH; i++) {
+                    int n = asked.incrementAndGet();
+                    txns.add(String.format("%016x", n));
+                    c.call(i, Peers.fields(n % 5 == 0 ? "load" : "lookup", txns.get(i - 1)));
+                    open.add(i);
+                }
+                while (!open.isEmpty()) {
+                    if (!open.remove(ByteBuffer.wrap(c.frame()).getInt(NUMBER_AT))) {
+                        broken.add("duplicate: a second answer to one of " + txns);
+                    }
+                    answered.incrementAndGet();
+                }
+            } catch (ConnectException e) {
+                Peers.goOnWaiting();
+            } catch (IOException e) {
+                broken.add("lost: " + open + " of " + txns + ": " + e.getMessage());
+            }
+        }
+    }
+
+    /** A fault of some kind, by chance, for a moment. */
+    private Fault begin(SystemCallFaults faults, Random chance) {
+        int seed = chance.nextInt();
+        int some = 300 + chance.nextInt(700);
+        int changeLog = list.changeLog.getLocalPort();
+        return switch (chance.nextInt(11)) {
+            case 0 -> faults.failSome(Call.CONNECT, Errno.EADDRNOTAVAIL, 0, some, seed);
+            case 1 -> faults.fail(Call.CONNECT, Errno.ENETUNREACH, changeLog);
+            case 2 -> faults.failSome(Call.SOCKET, Errno.ENFILE, 0, some, seed);
+            case 3 -> faults.fail(Call.SOCKET, Errno.ENOBUFS, 0);
+            case 4 -> faults.failSome(Call.ACCEPT, Errno.ENFILE, port, some, seed);
+            case 5 -> faults.failSome(Call.READ, Errno.EINTR, 0, some, seed);
+            case 6 -> faults.failSome(Call.WRITE, Errno.EAGAIN, 0, some, seed);
+            case 7 -> faults.failSome(Call.POLL, Errno.EINTR, 0, some, seed);
+            case 8 -> faults.failSome(Call.EPOLL_WAIT, Errno.EINTR, 0, some, seed);
+            case 9 -> faults.shorten(Call.READ, 1 + chance.nextInt(50), 0);
+            default -> faults.shorten(Call.WRITE, 1 + chance.nextInt(50), 0);
+        };
+    }
+
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void noRuleIsBrokenWhileServersDrainAndCallsFail(int seed) throws Exception {
+        Random chance = new Random(seed);
+        SystemCallFaults faults = SystemCallFaults.in(folder);
+        port = Peers.freePort();
+        int admin = Peers.freePort();
+        for (int i = 0; i < SERVERS; i++) {
+            addServer();
+        }
+        Path file = Files.writeString(folder.resolve("config.json"), """
+            {"name":"n1","listen":"127.0.0.1:%d","seed":"%d","limits":{"sockets":256},"changelog":"127.0.0.1:%d","known":%s,
+             "settings":{"tick":5,"rules":{"drainGrace":1000},"limits":{"cancelling":true,"maxAttempts":3,"maxStreams":100},
+             "projects":[{"name":"acme","quotaPerS":5000,"share":1}],"requestClasses":[%s,%s]}}
+            """.formatted(port, seed, list.changeLog.getLocalPort(), list.since(0), Peers.LOOKUP, Peers.LOAD));
+        Process process = Peers.run(faults.prefix(), file, admin, Files.createDirectory(folder.resolve("tmp")), folder.resolve("log"));
+        try {
+            Peers.untilReady(admin);
+            List<CompletableFuture<Void>> clients = new ArrayList<>();
+            for (int i = 0; i < CLIENTS; i++) {
+                clients.add(Peers.beside(this::ask));
+            }
+            play(faults, chance);
+            over = true;
+            clients.forEach(CompletableFuture::join);
+            assertThat(process.isAlive()).isTrue();
+            assertThat(broken).as("seed " + seed + ", " + answered + " answers; the log:\n" + Files.readString(folder.resolve("log")))
+                    .isEmpty();
+            assertThat(answered.get()).isGreaterThan(100);
+        } finally {
+            over = true;
+            process.destroyForcibly().waitFor();
+        }
+    }
+
+    /** The run's schedule: servers are replaced, and up to two faults are on at a time. */
+    private void play(SystemCallFaults faults, Random chance) throws Exception {
+        Fault[] on = new Fault[2];
+        long[] ends = new long[2];
+        long nextDrain = 0;
+        int resets = 0;
+        for (long now = 0; now < SOAK_MS; now += STEP_MS) {
+            if (now >= nextDrain) {
+                addServer();
+                drainOldest();
+                nextDrain = now + 300 + chance.nextInt(700);
+            }
+            for (int i = 0; i < on.length; i++) {
+                if (on[i] != null && now >= ends[i]) {
+                    on[i].end();
+                    on[i] = null;
+                    ends[i] = now + chance.nextInt(500);
+                } else if (on[i] == null && now >= ends[i]) {
+                    on[i] = begin(faults, chance);
+                    ends[i] = now + 100 + chance.nextInt(1900);
+                }
+            }
+            if (now > 1000 * (resets + 1)) { // the watch breaks, and another connection with it
+                resets++;
+                Fault reads = faults.fail(Call.READ, Errno.ETIMEDOUT, list.changeLog.getLocalPort());
+                TimeUnit.MILLISECONDS.sleep(STEP_MS);
+                reads.end();
+            }
+            TimeUnit.MILLISECONDS.sleep(STEP_MS);
+        }
+        for (Fault f : on) {
+            if (f != null) {
+                f.end();
+            }
+        }
+    }
+}
