End each soak with SIGTERM under a failing call, with clients that ask on

Clients ask for 0.4 s after the signal; each request must have its answer and the process must end within 3.7 s.

--- a/frontend/src/test/java/quincespar/program/SystemCallSoakIT.java
+++ b/frontend/src/test/java/quincespar/program/SystemCallSoakIT.java
@@ -36,6 +36,8 @@
 class SystemCallSoakIT {
     private static final String SEEDS = System.getProperty("soak.seeds", "1-6");
     private static final int SERVERS = 4, CLIENTS = 4, BATCH = 5;
+    /** After SIGTERM clients ask for so long, and the process may take so long. */
+    private static final long ASKS_ON_MS = 400, ENDS_MS = 3700;
     private static final long SOAK_MS = 8000, STEP_MS = 20;
     private static final double GRACE_MS = 1000, SLACK_MS = 150;
     /** Where the number of a call stands in an answer's frame, behind version, length and name. */
@@ -50,6 +52,7 @@
     private final Set<String> loads = ConcurrentHashMap.newKeySet();
     private final AtomicInteger asked = new AtomicInteger();
     private final AtomicInteger answered = new AtomicInteger();
+    private volatile boolean asking = true;
     private volatile boolean over;
     private int port;
     private int servers;
@@ -106,7 +109,7 @@
     }
 
     private void ask() throws IOException {
-        while (!over) {
+        while (asking) {
             List<String> txns = new ArrayList<>();
             Set<Integer> open = new HashSet<>();
             try (Peers.Client c = new Peers.Client(port)) {
@@ -173,9 +176,13 @@
                 clients.add(Peers.beside(this::ask));
             }
             play(faults, chance);
-            over = true;
-            clients.forEach(CompletableFuture::join);
             assertThat(process.isAlive()).isTrue();
+            begin(faults, chance);
+            Peers.term(process);
+            TimeUnit.MILLISECONDS.sleep(ASKS_ON_MS);
+            asking = false;
+            clients.forEach(CompletableFuture::join);
+            assertThat(process.waitFor(ENDS_MS, TimeUnit.MILLISECONDS)).as("ends in time").isTrue();
             assertThat(broken).as("seed " + seed + ", " + answered + " answers; the log:\n" + Files.readString(folder.resolve("log")))
                     .isEmpty();
             assertThat(answered.get()).isGreaterThan(100);
