Do not take a folder that can't be read for a moment for a lost one

What would be seen where 'recovery use on' is set: after a start during which the disk fails (EIO), loads in doubt and drained servers from before are forgotten, and the next write replaces the file that holds them. Evidence: aFileThatCanNotBeReadForAMomentIsNotTakenForLost: before, found=LOST with no entries; now WHOLE with both, and what came meanwhile is written behind them. Change: reading is tried again every DISK_AGAIN_MS; meanwhile entries wait in memory and requests are told that nothing is kept, as with a disk that refuses.

--- a/frontend/src/main/java/quincespar/program/recovery/KeptFolder.java
+++ b/frontend/src/main/java/quincespar/program/recovery/KeptFolder.java
@@ -48,10 +48,13 @@
     private final Thread thread = Threads.daemon("kept", this::run);
     /** What the file should hold; with it the file is written anew when it has grown, or the disk has refused. */
     private Kept kept = Kept.of(List.of());
+    /** What was to be kept while the file could not be read. */
+    private final List<Entry> unread = new ArrayList<>();
     /** Entries in the file. */
     private long written;
     /** What is in the file is not what it should hold, so that it is written whole and not added to. */
     private boolean behind;
+    private boolean locked;
     /** It is another instance's: nothing in it is touched. */
     private boolean foreign;
     /** What the disk has said; null while it takes what it is given. */
@@ -105,8 +108,7 @@
 
     private void run() {
         try {
-            open();
-            boolean more = true;
+            boolean more = open();
             while (more) {
                 more = group();
             }
@@ -119,11 +121,21 @@
         }
     }
 
+    /** Reads it as soon as the disk lets it be read: taken for lost, it would be written over. False where the end came first. */
+    private boolean open() throws InterruptedException {
+        boolean more = true;
+        while (more && !read()) {
+            more = refuseWaiting();
+        }
+        return more;
+    }
+
     /** An older process of this name may still hold the folder; until it ends nothing is read, and nothing written. */
-    private void open() throws InterruptedException {
+    private boolean read() throws InterruptedException {
         try {
-            while (!disk.lock()) {
-                Thread.sleep(LOCK_AGAIN_MS);
+            while (!locked) {
+                locked = disk.lock();
+                Thread.sleep(locked ? 0 : LOCK_AGAIN_MS);
             }
             Journal.Found f = journal.read();
             List<Entry> entries = new ArrayList<>();
@@ -131,21 +143,41 @@
                 entries.add(codec.read(r, Entry.class));
             }
             found(f.state(), entries);
+            return true;
         } catch (MalformedRecord e) { // whole, and yet not what this program writes
             to.accept(new Input.KeptRead(Trust.Finding.CORRUPT, List.of(), e.getMessage()));
+            return true;
         } catch (IOException e) {
             refused(e);
-            to.accept(new Input.KeptRead(Trust.Finding.LOST, List.of(), e.getMessage()));
+            return false;
+        }
+    }
+
+    /** What is to be kept waits in memory until the file has been read, and nobody waits for it; false at the end. */
+    private boolean refuseWaiting() throws InterruptedException {
+        double until = now() + DISK_AGAIN_MS;
+        for (double left = DISK_AGAIN_MS; left > 0; left = until - now()) {
+            Job j = jobs.poll((long) Math.ceil(left), TimeUnit.MILLISECONDS);
+            if (j instanceof Job.End) {
+                return false;
+            }
+            if (j instanceof Job.Add a) {
+                unread.add(a.entry());
+                failures.incrementAndGet();
+                tell(a.request(), false);
+            }
         }
+        return true;
     }
 
     private void found(Journal.State state, List<Entry> entries) throws IOException {
         String other = entries.stream().filter(Entry.Life.class::isInstance).map(e -> ((Entry.Life) e).owner()).filter(o -> !o.equals(owner))
                 .findFirst().orElse("");
         foreign = !other.isEmpty();
-        behind = state != Journal.State.WHOLE;
+        behind = state != Journal.State.WHOLE || !unread.isEmpty();
         written = entries.size();
         kept = Kept.of(entries);
+        unread.forEach(kept::apply);
         if (state == Journal.State.SPOILT) {
             journal.setAside();
         }
--- a/frontend/src/test/java/quincespar/program/recovery/KeptFolderTest.java
+++ b/frontend/src/test/java/quincespar/program/recovery/KeptFolderTest.java
@@ -99,6 +99,29 @@
         three.close(20_000);
     }
 
+    @Test
+    void aFileThatCanNotBeReadForAMomentIsNotTakenForLost() throws InterruptedException, IOException {
+        KeptFolder one = open("a");
+        read();
+        one.add(new Entry.Life("a", 1), 0);
+        one.add(load("x"), 1);
+        next();
+        one.close(20_000);
+        Files.move(folder.resolve("kept"), folder.resolve("whole"));
+        Files.createDirectory(folder.resolve("kept")); // a folder can't be read as a file
+        KeptFolder two = open("a");
+        two.add(load("y"), 2);
+        assertThat(next()).isEqualTo(new Input.Noted(2, false));
+        Files.delete(folder.resolve("kept"));
+        Files.move(folder.resolve("whole"), folder.resolve("kept"));
+        assertThat(read()).isEqualTo(new Input.KeptRead(Trust.Finding.WHOLE, List.of(new Entry.Life("a", 1), load("x")), ""));
+        two.add(load("z"), 3);
+        assertThat(next()).isEqualTo(new Input.Noted(3, true));
+        two.close(20_000);
+        open("a").close(20_000);
+        assertThat(read().entries()).containsExactly(new Entry.Life("a", 1), load("x"), load("y"), load("z"));
+    }
+
     @Test
     void aDiskThatRefusesIsToldOnceAndWhatItMissedIsWrittenLater() throws InterruptedException, IOException {
         Files.writeString(folder.resolve("kept.next"), "");
