Count a start whose stamp no clock can have as a start of now

What would be seen after the wall clock has stepped: a server stamped an hour ahead stays cold for an hour, and at each news of the list its connections are dropped under their requests; one stamped an hour behind counts as warm while it is cold, and is overloaded (slow start). Cause: up_since_ms was compared with a clock that is set once, at the process's start, whatever the two say. Evidence: aStartStampedByAClockThatHasSteppedCountsAsAStartOfNow (an hour ahead, an hour behind, five seconds ahead), failed before with the stamp as it came. Change: Fleet.startedAt gives a start told as a change the time of the news where its stamp lies ahead of now or over 30 s behind; other stamps stay. A step of some seconds into the past before the process's own start is not seen by this.

--- a/frontend/src/main/java/quincespar/routing/Fleet.java
+++ b/frontend/src/main/java/quincespar/routing/Fleet.java
@@ -20,6 +20,8 @@
         final long number;
         final List<Link> links = new ArrayList<>();
         FleetEvent.Member listed;
+        /** When it started by this program's clock, 0 where that is long ago. */
+        double startedAt;
         /** It takes nothing all the same: it had left before a loss of power, or all are held. */
         boolean withheld;
 
@@ -33,6 +35,9 @@
         }
     }
 
+    /** News of a start that comes later than this tells of an engine that is warm, or of clocks that differ. */
+    private static final double LATEST_NEWS_MS = 30_000;
+
     private final Returning returning;
     private Site site;
     private long revision;
@@ -77,14 +82,14 @@
     }
 
     /** Takes one event of the change log and whom it leaves out, and words it for the module. */
-    Gateway.Listed take(FleetEvent event, List<FleetEvent.Member> removed) {
+    Gateway.Listed take(FleetEvent event, List<FleetEvent.Member> removed, double now) {
         Gateway.ListKind kind = !event.complete() ? Gateway.ListKind.DELTA
                 : listed ? Gateway.ListKind.FULL : Gateway.ListKind.CACHED;
         listed = true;
         revision = event.revision();
         List<Gateway.Engine> told = new ArrayList<>();
-        event.members().forEach(m -> told.add(word(engine(m))));
-        removed.forEach(this::engine);
+        event.members().forEach(m -> told.add(word(engine(m, kind, now))));
+        removed.forEach(m -> engine(m, kind, now));
         return new Gateway.Listed(kind, event.revision(), told);
     }
 
@@ -106,15 +111,29 @@
                 .filter(e -> e.listed.phase() != Phase.REMOVED).map(this::word).toList());
     }
 
-    private Engine engine(FleetEvent.Member m) {
+    private Engine engine(FleetEvent.Member m, Gateway.ListKind kind, double now) {
         long number = number(m.id());
-        Engine e = engines.computeIfAbsent(number, n -> new Engine(n, m));
+        Engine known = engines.get(number);
+        Engine e = known == null ? new Engine(number, m) : known;
+        if (known == null || m.startedAt() != e.listed.startedAt()) {
+            e.startedAt = startedAt(m, kind == Gateway.ListKind.DELTA, now);
+        }
+        engines.put(number, e);
         e.listed = m;
         returning.engine(m);
         e.withheld = held || returning.withholds(m);
         return e;
     }
 
+    /**
+     * A start that is told as a change was a moment ago, whatever the clocks say: one that is stamped as later than now, or as
+     * too long ago for a change, comes from a clock that has stepped. Taken for warm, a cold engine would be overloaded.
+     */
+    private static double startedAt(FleetEvent.Member m, boolean change, double now) {
+        boolean stepped = m.startedAt() > now || change && now - m.startedAt() > LATEST_NEWS_MS;
+        return m.startedAt() <= 0 ? 0 : stepped ? now : m.startedAt();
+    }
+
     private long number(String id) {
         long h = EngineNumber.of(id);
         while (engines.containsKey(h) && !engines.get(h).listed.id().equals(id)) {
@@ -131,6 +150,6 @@
             case REMOVED -> EngineState.GONE;
         };
         return new Gateway.Engine(e.number, Math.max(0, site.zones().indexOf(m.zone())),
-                Math.max(0, site.kinds().indexOf(m.kind())), m.cell(), state, m.size(), returning.startedAt(m));
+                Math.max(0, site.kinds().indexOf(m.kind())), m.cell(), state, m.size(), returning.startedAt(m.id(), e.startedAt));
     }
 }
--- a/frontend/src/main/java/quincespar/routing/Returning.java
+++ b/frontend/src/main/java/quincespar/routing/Returning.java
@@ -118,8 +118,8 @@
         return on() && recovery.withholds(m.id());
     }
 
-    double startedAt(FleetEvent.Member m) {
-        return on() ? recovery.coldFrom(m.id(), m.startedAt()) : m.startedAt();
+    double startedAt(String id, double startedAt) {
+        return on() ? recovery.coldFrom(id, startedAt) : startedAt;
     }
 
     /** A connection to it has come up. */
--- a/frontend/src/main/java/quincespar/routing/Roster.java
+++ b/frontend/src/main/java/quincespar/routing/Roster.java
@@ -107,7 +107,7 @@
                 turn.stop(new TimerKey.Changes(a.serial()));
             } else if (act instanceof Membership.Learned a) {
                 sayWhoLeaves(a);
-                turn.event(fleet.take(a.event(), a.removed()));
+                turn.event(fleet.take(a.event(), a.removed(), turn.now));
                 news = true;
             } else if (act instanceof Membership.Hold a) {
                 fleet.hold(a.on());
@@ -150,7 +150,7 @@
     /** After news of an engine: nothing goes out to one that is not ready, and old processes' links end. */
     private void review(Fleet.Engine e) {
         for (Link l : List.copyOf(e.links)) {
-            if (e.ready() && l.dialledAt < e.listed.startedAt()) {
+            if (e.ready() && l.dialledAt < e.startedAt) {
                 links.drop(l, "to a process that has ended");
             } else if (!e.ready() && !l.up) {
                 links.drop(l, "its engine takes nothing new"); // a connect must not outlive the grace
--- a/frontend/src/test/java/quincespar/routing/ReducerTest.java
+++ b/frontend/src/test/java/quincespar/routing/ReducerTest.java
@@ -8,6 +8,8 @@
 import java.util.Map;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import quincespar.decision.Gateway;
 import quincespar.decision.Gateway.Outcome;
 import quincespar.membership.Failure;
@@ -59,7 +61,11 @@
     }
 
     private <T> T last(Class<T> type) {
-        List<T> all = of(type, effects);
+        return last(type, effects);
+    }
+
+    private <T> T last(Class<T> type, List<?> from) {
+        List<T> all = of(type, from);
         return all.get(all.size() - 1);
     }
 
@@ -279,6 +285,31 @@
         assertThat(of(Gateway.Request.class, told)).hasSize(3);
     }
 
+    private FleetEvent started(long seq, String id, double at) {
+        return new FleetEvent(seq, seq, false, List.of(new FleetEvent.Member(id, "127.0.0.1:1", "", "", 0, Phase.UP, 1, at)));
+    }
+
+    @ParameterizedTest
+    @ValueSource(doubles = {3_600_000, -3_600_000, 5000})
+    void aStartStampedByAClockThatHasSteppedCountsAsAStartOfNow(double step) {
+        now += 4_000_000;
+        told.clear();
+        step(new Input.Changes(1, 2, List.of(started(2, "c", now + step))));
+        double startedAt = last(Gateway.Listed.class, told).engines().get(0).startedAt();
+        assertThat(startedAt).isEqualTo(now);
+        step(new Input.Changes(3, 3, List.of(fleet(3, Phase.DRAINING, "a"))));
+        step(new Input.Changes(5, 4, List.of(started(4, "c", now - 30 + step))));
+        assertThat(last(Gateway.Listed.class, told).engines().get(0).startedAt()).as("another start").isEqualTo(now);
+    }
+
+    @Test
+    void aStartOfAMomentAgoKeepsItsStamp() {
+        now += 4_000_000;
+        double at = now - 2000;
+        step(new Input.Changes(1, 2, List.of(started(2, "c", at))));
+        assertThat(last(Gateway.Listed.class, told).engines().get(0).startedAt()).isEqualTo(at);
+    }
+
     @Test
     void aSilentChangeLogIsAskedAgainAndTheListKept() {
         step(new Input.ChangesFailed(1, Failure.UNANSWERED, "status 500"));
