--- a/frontend/src/test/java/quincespar/program/ListedServers.java
+++ b/frontend/src/test/java/quincespar/program/ListedServers.java
@@ -16,6 +16,8 @@
 final class ListedServers {
     private static final String HEAD = "HTTP/1.1 200 OK\r\nContent-Length: ";
     final ServerSocket changeLog = Peers.listen(this::play);
+    /** The same change log at another address. */
+    final ServerSocket moved = Peers.listen(this::play);
     private final List<String> events = new ArrayList<>();
     private final Map<String, Long> drainedAt = new ConcurrentHashMap<>();
 
--- a/frontend/src/test/java/quincespar/program/SystemCallSoakIT.java
+++ b/frontend/src/test/java/quincespar/program/SystemCallSoakIT.java
@@ -7,6 +7,7 @@
 import java.nio.ByteBuffer;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -38,6 +39,8 @@
     private static final int SERVERS = 4, CLIENTS = 4, BATCH = 5;
     /** After SIGTERM clients ask for so long, and the process may take so long. */
     private static final long ASKS_ON_MS = 400, ENDS_MS = 3700;
+    /** The first fault begins before the start and lasts so long. */
+    private static final long EARLY_MS = 1500;
     private static final long SOAK_MS = 8000, STEP_MS = 20;
     private static final double GRACE_MS = 1000, SLACK_MS = 150;
     /** Where the number of a call stands in an answer's frame, behind version, length and name. */
@@ -133,12 +136,21 @@
         }
     }
 
+    private Path configure(int seed, int changeLog) throws IOException {
+        Path next = Files.writeString(folder.resolve("next.json"), """
+            {"name":"n1","listen":"127.0.0.1:%d","seed":"%d","limits":{"sockets":256},"changelog":"127.0.0.1:%d","known":%s,
+             "settings":{"tick":5,"rules":{"drainGrace":1000},"limits":{"cancelling":true,"maxAttempts":3,"maxStreams":100},
+             "projects":[{"name":"acme","quotaPerS":5000,"share":1}],"requestClasses":[%s,%s]}}
+            """.formatted(port, seed, changeLog, list.since(0), Peers.LOOKUP, Peers.LOAD));
+        return Files.move(next, folder.resolve("config.json"), StandardCopyOption.REPLACE_EXISTING);
+    }
+
     /** A fault of some kind, by chance, for a moment. */
     private Fault begin(SystemCallFaults faults, Random chance) {
         int seed = chance.nextInt();
         int some = 300 + chance.nextInt(700);
         int changeLog = list.changeLog.getLocalPort();
-        return switch (chance.nextInt(11)) {
+        return switch (chance.nextInt(12)) {
             case 0 -> faults.failSome(Call.CONNECT, Errno.EADDRNOTAVAIL, 0, some, seed);
             case 1 -> faults.fail(Call.CONNECT, Errno.ENETUNREACH, changeLog);
             case 2 -> faults.failSome(Call.SOCKET, Errno.ENFILE, 0, some, seed);
@@ -148,7 +160,8 @@
             case 6 -> faults.failSome(Call.WRITE, Errno.EAGAIN, 0, some, seed);
             case 7 -> faults.failSome(Call.POLL, Errno.EINTR, 0, some, seed);
             case 8 -> faults.failSome(Call.EPOLL_WAIT, Errno.EINTR, 0, some, seed);
-            case 9 -> faults.shorten(Call.READ, 1 + chance.nextInt(50), 0);
+            case 9 -> faults.failOpen(Errno.ENFILE, "config.json");
+            case 10 -> faults.shorten(Call.READ, 1 + chance.nextInt(50), 0);
             default -> faults.shorten(Call.WRITE, 1 + chance.nextInt(50), 0);
         };
     }
@@ -163,19 +176,18 @@
         for (int i = 0; i < SERVERS; i++) {
             addServer();
         }
-        Path file = Files.writeString(folder.resolve("config.json"), """
-            {"name":"n1","listen":"127.0.0.1:%d","seed":"%d","limits":{"sockets":256},"changelog":"127.0.0.1:%d","known":%s,
-             "settings":{"tick":5,"rules":{"drainGrace":1000},"limits":{"cancelling":true,"maxAttempts":3,"maxStreams":100},
-             "projects":[{"name":"acme","quotaPerS":5000,"share":1}],"requestClasses":[%s,%s]}}
-            """.formatted(port, seed, list.changeLog.getLocalPort(), list.since(0), Peers.LOOKUP, Peers.LOAD));
+        Path file = configure(seed, list.changeLog.getLocalPort());
+        Fault early = begin(faults, chance);
         Process process = Peers.run(faults.prefix(), file, admin, Files.createDirectory(folder.resolve("tmp")), folder.resolve("log"));
         try {
+            TimeUnit.MILLISECONDS.sleep(EARLY_MS);
+            early.end();
             Peers.untilReady(admin);
             List<CompletableFuture<Void>> clients = new ArrayList<>();
             for (int i = 0; i < CLIENTS; i++) {
                 clients.add(Peers.beside(this::ask));
             }
-            play(faults, chance);
+            play(faults, chance, seed, process.pid());
             assertThat(process.isAlive()).isTrue();
             begin(faults, chance);
             Peers.term(process);
@@ -193,7 +205,7 @@
     }
 
     /** The run's schedule: servers are replaced, and up to two faults are on at a time. */
-    private void play(SystemCallFaults faults, Random chance) throws Exception {
+    private void play(SystemCallFaults faults, Random chance, int seed, long pid) throws Exception {
         Fault[] on = new Fault[2];
         long[] ends = new long[2];
         long nextDrain = 0;
@@ -214,11 +226,13 @@
                     ends[i] = now + 100 + chance.nextInt(1900);
                 }
             }
-            if (now > 1000 * (resets + 1)) { // the watch breaks, and another connection with it
+            if (now > 1000 * (resets + 1)) { // the watch breaks, and a new configuration moves it
                 resets++;
                 Fault reads = faults.fail(Call.READ, Errno.ETIMEDOUT, list.changeLog.getLocalPort());
                 TimeUnit.MILLISECONDS.sleep(STEP_MS);
                 reads.end();
+                configure(seed, (resets % 2 == 0 ? list.changeLog : list.moved).getLocalPort());
+                new ProcessBuilder("kill", "-HUP", Long.toString(pid)).inheritIO().start().waitFor();
             }
             TimeUnit.MILLISECONDS.sleep(STEP_MS);
         }
