Step the wall clock by an hour in the soak

The preloaded library shifts CLOCK_REALTIME while a rule is on (seen with a small program: one hour ahead).

--- a/frontend/src/test/java/quincespar/program/SystemCallFaults.java
+++ b/frontend/src/test/java/quincespar/program/SystemCallFaults.java
@@ -17,7 +17,7 @@
  */
 final class SystemCallFaults {
     /** The calls that can fail; their places are the library's numbers. */
-    enum Call { NONE, SOCKET, CONNECT, ACCEPT, READ, WRITE, POLL, EPOLL_WAIT, OPEN }
+    enum Call { NONE, SOCKET, CONNECT, ACCEPT, READ, WRITE, POLL, EPOLL_WAIT, OPEN, CLOCK }
 
     /** Error numbers of Linux. */
     enum Errno {
@@ -115,6 +115,11 @@
         return begin(Call.OPEN, error.number, ALWAYS, 0, 0, 1, name);
     }
 
+    /** The wall clock is off by so many seconds. */
+    Fault stepClock(int seconds) {
+        return begin(Call.CLOCK, seconds, ALWAYS, 0, 0, 1, "");
+    }
+
     private Fault begin(Call call, int error, int permille, int port, int mostBytes, int seed, String name) {
         int at = 0;
         while (rules.getInt(at) != Call.NONE.ordinal()) {
--- a/frontend/src/test/java/quincespar/program/SystemCallSoakIT.java
+++ b/frontend/src/test/java/quincespar/program/SystemCallSoakIT.java
@@ -150,7 +150,7 @@
         int seed = chance.nextInt();
         int some = 300 + chance.nextInt(700);
         int changeLog = list.changeLog.getLocalPort();
-        return switch (chance.nextInt(12)) {
+        return switch (chance.nextInt(13)) {
             case 0 -> faults.failSome(Call.CONNECT, Errno.EADDRNOTAVAIL, 0, some, seed);
             case 1 -> faults.fail(Call.CONNECT, Errno.ENETUNREACH, changeLog);
             case 2 -> faults.failSome(Call.SOCKET, Errno.ENFILE, 0, some, seed);
@@ -161,7 +161,8 @@
             case 7 -> faults.failSome(Call.POLL, Errno.EINTR, 0, some, seed);
             case 8 -> faults.failSome(Call.EPOLL_WAIT, Errno.EINTR, 0, some, seed);
             case 9 -> faults.failOpen(Errno.ENFILE, "config.json");
-            case 10 -> faults.shorten(Call.READ, 1 + chance.nextInt(50), 0);
+            case 10 -> faults.stepClock(chance.nextBoolean() ? 3600 : -3600);
+            case 11 -> faults.shorten(Call.READ, 1 + chance.nextInt(50), 0);
             default -> faults.shorten(Call.WRITE, 1 + chance.nextInt(50), 0);
         };
     }
--- a/frontend/src/test/native/system_call_faults.c
+++ b/frontend/src/test/native/system_call_faults.c
@@ -16,10 +16,12 @@
 #include <sys/epoll.h>
 #include <sys/mman.h>
 #include <sys/socket.h>
-#include <sys/uio.h>
+#include <sys/time.h>
+#include <time.h>
 #include <unistd.h>
 
-enum call { CALL_NONE, CALL_SOCKET, CALL_CONNECT, CALL_ACCEPT, CALL_READ, CALL_WRITE, CALL_POLL, CALL_EPOLL_WAIT, CALL_OPEN };
+enum call { CALL_NONE, CALL_SOCKET, CALL_CONNECT, CALL_ACCEPT, CALL_READ, CALL_WRITE, CALL_POLL, CALL_EPOLL_WAIT, CALL_OPEN,
+    CALL_CLOCK };
 
 #define RULES 16
 #define NAME_BYTES 64
@@ -27,7 +29,7 @@
 /* One rule; the layout is known to SystemCallFaults.java. */
 struct rule {
     int32_t call;          /* enum call; 0 while the rule is off */
-    int32_t error;         /* errno; 0 for a short read or write */
+    int32_t error;         /* errno; 0 for a short read or write; seconds by which the wall clock is off */
     int32_t permille;      /* of the calls that match */
     int32_t port;          /* local or remote port of the socket; 0 for any */
     int32_t most_bytes;    /* of a short read or write */
@@ -152,6 +154,23 @@
     return failing(rule) ? -1 : real(fd, buffer, shortened(rule, count), flags);
 }
 
+int clock_gettime(clockid_t clock, struct timespec *time) {
+    REAL(clock_gettime);
+    int result = real(clock, time);
+    struct rule *rule = clock == CLOCK_REALTIME ? striking(CALL_CLOCK, -1, NULL, NULL) : NULL;
+    time->tv_sec += rule ? rule->error : 0;
+    return result;
+}
+
+int gettimeofday(struct timeval *restrict time, void *restrict zone) {
+    struct timespec now;
+    int result = clock_gettime(CLOCK_REALTIME, &now);
+    time->tv_sec = now.tv_sec;
+    time->tv_usec = now.tv_nsec / 1000;
+    (void)zone;
+    return result;
+}
+
 int poll(struct pollfd *fds, nfds_t count, int timeout) {
     REAL(poll);
     return failing(striking(CALL_POLL, -1, NULL, NULL)) ? -1 : real(fds, count, timeout);
