Take pauses and the hold past the grace out of Membership into classes of their own

Backoff knows how long to wait after failures, DrainGrace whether new work may go out while the list can't be asked for; Membership keeps the questions.

--- /dev/null
+++ b/frontend/src/main/java/quincespar/membership/Backoff.java
@@ -0,0 +1,51 @@
+package quincespar.membership;
+
+/** How long to wait before the next question after failures in a row, by what each has cost the change log. */
+final class Backoff {
+    /** Pauses and times to connect double this often at the most. */
+    private static final int MOST_DOUBLINGS = 5;
+
+    private final Pace pace;
+    private int calls;
+    private int unreached;
+    private int slowConnects;
+
+    Backoff(Pace pace) {
+        this.pace = pace;
+    }
+
+    /** A whole answer came: a question that reaches nobody from now on is a first one again. */
+    void reached() {
+        unreached = 0;
+        slowConnects = 0;
+    }
+
+    /** An answer with news came, or the change log is another: nothing has failed yet. */
+    void reset() {
+        calls = 0;
+        reached();
+    }
+
+    /** The pause after a failed question, in milliseconds. */
+    double pauseMs(Failure how) {
+        if (how == Failure.UNANSWERED) {
+            return afterCallMs();
+        }
+        slowConnects += how == Failure.SLOW_CONNECT ? 1 : 0;
+        return Math.min(pace.unreachedPauseMs(), doubled(pace.pauseMs(), unreached++));
+    }
+
+    /** The pause after a question that the change log has worked on: these add up over a whole fleet. */
+    double afterCallMs() {
+        return Math.min(pace.longestPauseMs(), doubled(pace.pauseMs(), calls++));
+    }
+
+    /** How long the next connection may take to come up. */
+    double connectMs() {
+        return doubled(pace.connectMs(), slowConnects);
+    }
+
+    private static double doubled(double ms, int times) {
+        return ms * (1 << Math.min(times, MOST_DOUBLINGS));
+    }
+}
--- a/frontend/src/main/java/quincespar/membership/Membership.java
+++ b/frontend/src/main/java/quincespar/membership/Membership.java
@@ -59,13 +59,10 @@
 
     /** The wait of the questions of the start: the list of the start may be old, and nothing is served before an answer. */
     private static final long FIRST_WAIT_MS = 100;
-    /** Pauses and times to connect double this often at the most. */
-    private static final int MOST_DOUBLINGS = 5;
-
-    /** What is on its way to a server when a hold begins has so long to go out within the grace. */
-    private static final double HOLD_MARGIN_MS = 200;
 
     private final Pace pace;
+    private final Backoff backoff;
+    private final DrainGrace grace;
     private final Members members = new Members();
     private List<Act> acts = new ArrayList<>();
     private Phase phase = Phase.NEW;
@@ -78,16 +75,7 @@
     private long serial;
     private long question;
     private long wait;
-    private int failures;
-    private int unreached;
-    private int slowConnects;
     private boolean answeredOnce;
-    /** How long a server that has been told to drain may still be sent work; 0 where there is no such rule. */
-    private double graceMs;
-    /** Since when events may have been told that were not heard: the end of the last question that was in place. */
-    private double lostAt;
-    private boolean failedHere;
-    private boolean held;
     private double askedWaitMs;
     /** Failed questions since the last whole answer. */
     private int failuresInARow;
@@ -99,13 +87,15 @@
     /** Follows at this pace; nothing is asked before {@link #start}. */
     public Membership(Pace pace) {
         this.pace = pace;
+        backoff = new Backoff(pace);
+        grace = new DrainGrace(pace);
     }
 
     /** Begins with what is known at the start; asks at once. */
     public List<Act> start(double time, String at, List<FleetEvent> known) {
         now = time;
         answeredAt = time;
-        lostAt = time;
+        grace.lost(time);
         address = at;
         learn(known);
         ask();
@@ -127,19 +117,20 @@
                         + Math.round(age(now)) + " ms; the list holds " + members.all().size() + " engines"));
             }
             failuresInARow = 0;
-            unreached = 0;
-            slowConnects = 0;
+            backoff.reached();
+            grace.answered();
             toldStale = false;
             answeredOnce = true;
-            failedHere = false;
             answeredAt = now;
             acts.add(new Forget(wait));
             learn(events);
             boolean empty = seq > taken ? seq == claimed : early && taken == before;
-            failures = empty ? failures : 0;
+            if (!empty) {
+                backoff.reset();
+            }
             claimed = seq > taken ? seq : 0;
             if (empty) {
-                pauseAfterCall();
+                pause(backoff.afterCallMs());
             } else {
                 ask();
             }
@@ -180,9 +171,7 @@
         now = Math.max(now, time);
         acts.add(new Say("change log at " + to + " from event " + taken));
         address = to;
-        failures = 0;
-        unreached = 0;
-        slowConnects = 0;
+        backoff.reset();
         acts.add(new Forget(wait));
         acts.add(new Drop());
         ask();
@@ -191,7 +180,7 @@
 
     /** The rule's grace from now on: how long a server that has been told to drain may still be sent work. */
     public void grace(double ms) {
-        graceMs = ms;
+        grace.graceMs(ms);
     }
 
     /** Whether the change log has answered whole since the start. */
@@ -250,13 +239,15 @@
         question = ++serial;
         long waitMs = answeredOnce ? pace.waitMs() : Math.min(FIRST_WAIT_MS, pace.waitMs());
         askedWaitMs = waitMs;
-        acts.add(new Ask(question, address, taken, waitMs, doubled(pace.connectMs(), slowConnects)));
+        acts.add(new Ask(question, address, taken, waitMs, backoff.connectMs()));
         await(waitMs + pace.slackMs());
     }
 
     private void failed(Failure how, String cause) {
-        lostAt = failuresInARow == 0 ? now : lostAt;
-        failedHere = how == Failure.FAILED_HERE;
+        if (failuresInARow == 0) {
+            grace.lost(now);
+        }
+        grace.failed(how);
         failuresInARow++;
         failuresInAll++;
         acts.add(new Say("change log: question " + question + " from event " + taken + " failed after "
@@ -268,17 +259,7 @@
             acts.add(new Say("the change log has not answered for " + Math.round(age(now) / 1000)
                     + " s; the list stays as it was told, with " + members.all().size() + " engines"));
         }
-        if (how == Failure.UNANSWERED) {
-            pauseAfterCall();
-        } else {
-            slowConnects += how == Failure.SLOW_CONNECT ? 1 : 0;
-            pause(Math.min(pace.unreachedPauseMs(), doubled(pace.pauseMs(), unreached++)));
-        }
-    }
-
-    /** Calls that the change log has worked on add up over a whole fleet. */
-    private void pauseAfterCall() {
-        pause(Math.min(pace.longestPauseMs(), doubled(pace.pauseMs(), failures++)));
+        pause(backoff.pauseMs(how));
     }
 
     private void pause(double ms) {
@@ -286,26 +267,14 @@
         await(ms);
     }
 
-    /**
-     * Holds what would be sent from shortly before the grace is over until the change log answers, fails in another way, or
-     * the longest hold has passed: a change log that is down or can't be reached stops nothing.
-     */
     private void review() {
-        double graceEnds = lostAt + graceMs;
-        boolean hold = graceMs > 0 && failedHere && now + pace.unreachedPauseMs() + HOLD_MARGIN_MS >= graceEnds
-                && now < graceEnds + pace.holdMs();
-        if (hold != held) {
-            held = hold;
-            acts.add(new Say(hold ? "nothing new is sent: this machine could not ask the change log for "
-                    + Math.round(now - lostAt) + " ms" : "what waits is sent again"));
-            acts.add(new Hold(hold));
+        if (grace.changes(now)) {
+            acts.add(new Say(grace.held() ? "nothing new is sent: this machine could not ask the change log for "
+                    + Math.round(grace.lostMs(now)) + " ms" : "what waits is sent again"));
+            acts.add(new Hold(grace.held()));
         }
     }
 
-    private static double doubled(double ms, int times) {
-        return ms * (1 << Math.min(times, MOST_DOUBLINGS));
-    }
-
     private void await(double delay) {
         wait = ++serial;
         acts.add(new Await(wait, delay));
