--- a/frontend/src/test/java/quincespar/program/SystemCallSoakIT.java
+++ b/frontend/src/test/java/quincespar/program/SystemCallSoakIT.java
@@ -42,6 +42,8 @@
     /** The first fault begins before the start and lasts so long. */
     private static final long EARLY_MS = 1500;
     private static final long SOAK_MS = 8000, STEP_MS = 20;
+    /** What clients wait, and how much later an answer counts as lost. */
+    private static final long LIMIT_MS = 3000, LATE_MS = 500;
     private static final double GRACE_MS = 1000, SLACK_MS = 150;
     /** Where the number of a call stands in an answer's frame, behind version, length and name. */
     private static final int NUMBER_AT = 12;
@@ -116,6 +118,7 @@
             List<String> txns = new ArrayList<>();
             Set<Integer> open = new HashSet<>();
             try (Peers.Client c = new Peers.Client(port)) {
+                long from = System.nanoTime();
                 for (int i = 1; i <= BATCH; i++) {
                     int n = asked.incrementAndGet();
                     txns.add(String.format("%016x", n));
@@ -127,6 +130,10 @@
                         broken.add("duplicate: a second answer to one of " + txns);
                     }
                     answered.incrementAndGet();
+                    long ms = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - from);
+                    if (ms > LIMIT_MS + LATE_MS) {
+                        broken.add("late: an answer to one of " + txns + " after " + ms + " ms");
+                    }
                 }
             } catch (ConnectException e) {
                 Peers.goOnWaiting();
