Use what was there already: lookup of servers, bounded counts, texts of the tests

Fleet.named walked all servers for each that leaves, and calls the lookup by id now; a server gets its start with its making; counts by names from outside share one bound (Counters.countBounded); SystemCallFaultsIT takes its classes and members from Peers and ListedServers. ReducerTest, FellowsTest, ReturningTest, LayersTest, ThriftFrontTest and SystemCallFaultsIT (14) pass.

--- a/frontend/src/main/java/quincespar/program/runtime/Counters.java
+++ b/frontend/src/main/java/quincespar/program/runtime/Counters.java
@@ -39,8 +39,13 @@
     /** Counts the end of a client's connection under its cause, up to a colon and without numbers. */
     public void closed(String cause) {
         String name = cause.split(":")[0].replaceAll("[0-9]+", "").strip().replaceAll(" +", "_").toLowerCase(Locale.ROOT);
-        String key = "closed." + (closes.size() < MOST_CAUSES || closes.containsKey("closed." + name) ? name : "other");
-        closes.computeIfAbsent(key, k -> new AtomicLong()).incrementAndGet();
+        countBounded(closes, "closed.", name);
+    }
+
+    /** Counts one by a name that comes from outside; beyond so many names they are counted together. */
+    private static void countBounded(Map<String, AtomicLong> counted, String group, String name) {
+        String key = group + (counted.size() < MOST_CAUSES || counted.containsKey(group + name) ? name : "other");
+        counted.computeIfAbsent(key, k -> new AtomicLong()).incrementAndGet();
     }
 
     /** Counts a system call that failed, as {@code failures.side.call.error}; {@code cause} is 'call: error'. */
@@ -48,9 +53,7 @@
         int colon = cause.indexOf(": ");
         if (colon > 0 && CALLS.contains(cause.substring(0, colon))) {
             String error = cause.substring(colon + 2).split("[:(]")[0].strip().replaceAll("[^A-Za-z]+", "_").toLowerCase(Locale.ROOT);
-            String name = "failures." + side + "." + cause.substring(0, colon) + "." + error;
-            failures.computeIfAbsent(failures.size() < MOST_CAUSES || failures.containsKey(name) ? name : "failures.other",
-                    k -> new AtomicLong()).incrementAndGet();
+            countBounded(failures, "failures.", side + "." + cause.substring(0, colon) + "." + error);
         }
     }
 
--- a/frontend/src/main/java/quincespar/routing/Fleet.java
+++ b/frontend/src/main/java/quincespar/routing/Fleet.java
@@ -25,9 +25,10 @@
         /** It takes nothing all the same: it had left before a loss of power, or all are held. */
         boolean withheld;
 
-        Engine(long number, FleetEvent.Member listed) {
+        Engine(long number, FleetEvent.Member listed, double startedAt) {
             this.number = number;
             this.listed = listed;
+            this.startedAt = startedAt;
         }
 
         boolean ready() {
@@ -56,7 +57,7 @@
 
     /** The engine of that id in the list, null where there is none. */
     Engine named(String id) {
-        return engines.values().stream().filter(e -> e.listed.id().equals(id)).findFirst().orElse(null);
+        return engines.get(number(id));
     }
 
     Collection<Engine> all() {
@@ -112,13 +113,11 @@
     }
 
     private Engine engine(FleetEvent.Member m, Gateway.ListKind kind, double now) {
-        long number = number(m.id());
-        Engine known = engines.get(number);
-        Engine e = known == null ? new Engine(number, m) : known;
-        if (known == null || m.startedAt() != e.listed.startedAt()) {
-            e.startedAt = startedAt(m, kind == Gateway.ListKind.DELTA, now);
+        boolean change = kind == Gateway.ListKind.DELTA;
+        Engine e = engines.computeIfAbsent(number(m.id()), n -> new Engine(n, m, startedAt(m, change, now)));
+        if (m.startedAt() != e.listed.startedAt()) {
+            e.startedAt = startedAt(m, change, now);
         }
-        engines.put(number, e);
         e.listed = m;
         returning.engine(m);
         e.withheld = held || returning.withholds(m);
--- a/frontend/src/test/java/quincespar/program/SystemCallFaultsIT.java
+++ b/frontend/src/test/java/quincespar/program/SystemCallFaultsIT.java
@@ -9,7 +9,6 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedQueue;
@@ -29,8 +28,6 @@
 /** The jar as {@code run} starts it, before two servers and a change log, while its system calls fail for a moment. */
 @Timeout(60)
 class SystemCallFaultsIT {
-    private static final String LOOKUP = Peers.LOOKUP;
-    private static final String LOAD = "{\"name\":\"load\",\"slo\":2000,\"hardLimit\":4000,\"effect\":\"unsafe\"}";
     private static final long NEXT_QUESTION_MS = 500;
     private static final int CLIENTS = 8, ROUNDS = 10;
     /** Where the number of a call stands in an answer's frame, behind version, length and name. */
@@ -83,8 +80,7 @@
     }
 
     private static String member(String id, Peers.Engine engine, String phase) {
-        return "{\"id\":\"%s\",\"host_port\":\"127.0.0.1:%d\",\"phase\":\"%s\",\"size\":4}".formatted(id,
-                engine.server.getLocalPort(), phase);
+        return ListedServers.member(id, engine.server.getLocalPort(), phase);
     }
 
     private String drain() {
@@ -98,7 +94,7 @@
              "known":{"seq":1,"results":[{"seq":1,"fleet":{"revision":1,"complete":true,"members":[%s,%s]}}]},
              "settings":{"tick":5,"rules":{"drainGrace":1000},"limits":{"cancelling":true,"maxAttempts":3,"maxStreams":100},
              "projects":[{"name":"acme","quotaPerS":500,"share":1}],"requestClasses":[%s,%s]}}
-            """.formatted(port, changeLog, member("s-1", draining, "up"), member("s-2", other, "up"), LOOKUP, LOAD));
+            """.formatted(port, changeLog, member("s-1", draining, "up"), member("s-2", other, "up"), Peers.LOOKUP, Peers.LOAD));
     }
 
     private void launch() throws IOException {
@@ -299,7 +295,7 @@
         waits.untilStruck(10);
         waits.end();
         askAll("lookup", 0);
-        assertThat(Map.of("alive", process.isAlive())).containsEntry("alive", true);
+        assertThat(process.isAlive()).isTrue();
     }
 
     @ParameterizedTest
