Review: let case 1 print its longest time without an answer

Looked for: a figure for how long the front end stands still in case 1, as the counts of lost lookups alone do not show it. Done: the test prints the longest time between two answers to usual clients. Nothing in what it judges has changed.

--- a/review/1/LargeStatements.java
+++ b/review/1/LargeStatements.java
@@ -72,7 +72,14 @@
                         : ""));
             }
         }
+        double last = 0;
+        double longest = 0;
+        for (double at : calls.stream().filter(Client.Call::answered).mapToDouble(c -> c.answeredAt).sorted().toArray()) {
+            longest = Math.max(longest, last == 0 ? 0 : at - last);
+            last = at;
+        }
         Record.say("requests of the usual clients: " + answers);
+        Record.say("longest time between two answers to usual clients: " + Math.round(longest) + " ms");
         Record.say(ended ? "the front end has ended by itself, with exit code " + front.process.exitValue() : "the front end runs");
         return lost == 0 && !ended;
     }
