--- a/review/1/LargeStatements.java
+++ b/review/1/LargeStatements.java
@@ -12,7 +12,7 @@
     private static final int USUAL = 10;
     private static final int USUAL_GAP_MS = 100;
     private static final double USUAL_TRY_MS = 3800;
-    private static final int BAD = 5;
+    private static final int BAD = 6;
     /** With 32 requests on each, a bad client sends 320 requests at once. */
     private static final int CONNECTIONS_OF_A_BAD_CLIENT = 10;
     private static final int STATEMENT_BYTES = 60_000;
@@ -63,11 +63,12 @@
             boolean answered = call.answered() && call.answeredAt - call.sentAt <= call.limitMs + LATE_MS;
             boolean crossed = call.cutAt >= 0 && call.cutAt - call.sentAt <= CROSSING_MS;
             boolean stillInTime = !call.answered() && Record.now() - call.sentAt <= call.limitMs + LATE_MS;
-            String what = answered ? call.answer : crossed ? "crossed a close" : stillInTime ? "open at the end" : "lost";
+            String what = answered ? call.answer : crossed ? "crossed a close" : call.cutAt >= 0 && !ended ? "lost: connection ended"
+                    : stillInTime || call.cutAt >= 0 ? "open at the front end's end" : "lost: no answer in time";
             answers.merge(what, 1, Integer::sum);
-            if (what.equals("lost")) {
+            if (what.startsWith("lost")) {
                 lost++;
-                Record.line("lost: " + call.client + " " + call.txn + ", sent at " + Math.round(call.sentAt) + ": " + call.answer
+                Record.line(what + ": " + call.client + " " + call.txn + ", sent at " + Math.round(call.sentAt) + ": " + call.answer
                         + (call.cutAt >= 0 ? " at " + Math.round(call.cutAt) : call.answered() ? " at " + Math.round(call.answeredAt)
                         : ""));
             }
@@ -84,7 +85,7 @@
         return lost == 0 && !ended;
     }
 
-    /** A client that asks for lookups, gives each up at its time, and reconnects. */
+    /** A client that asks for lookups, and reconnects when its connection ends. */
     private static void startUsual(String name, FrontEnd front, List<Client.Call> calls) {
         Engine.thread(name, () -> {
             while (!over) {
--- a/review/standins/Client.java
+++ b/review/standins/Client.java
@@ -7,6 +7,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
@@ -29,7 +30,6 @@
         volatile double answeredAt = -1;
         /** When its connection ended without its answer; negative if it did not. */
         volatile double cutAt = -1;
-        volatile boolean givenUp;
 
         Call(String client, String txn, String verb, double limitMs) {
             this.client = client;
@@ -58,23 +58,14 @@
     volatile String ended;
     private int seqid;
 
-    /** A connection with this receive buffer (0: the system's choice), which reads its answers or reads nothing. */
-    Client(String name, InetSocketAddress at, int receiveBuffer, boolean reads) throws IOException {
+    /** Connects, and reads answers from now on. */
+    Client(String name, InetSocketAddress at) throws IOException {
         this.name = name;
         socket = new Socket();
-        if (receiveBuffer > 0) {
-            socket.setReceiveBufferSize(receiveBuffer);
-        }
         socket.connect(at, 5000);
         socket.setTcpNoDelay(true);
-        Record.line("client " + name + ": connected" + (reads ? "" : ", reads nothing"));
-        if (reads) {
-            Engine.thread("client-" + name, this::read);
-        }
-    }
-
-    Client(String name, InetSocketAddress at) throws IOException {
-        this(name, at, 0, true);
+        Record.line("client " + name + ": connected");
+        Engine.thread("client-" + name, this::read);
     }
 
     static String nextTxn() {
@@ -90,7 +81,7 @@
         fields.put("txn", call.txn);
         fields.put("limit", Long.toString(Math.round(limitMs)));
         fields.put("team", team);
-        fields.put("cpu", String.format("%.1f", cpu));
+        fields.put("cpu", String.format(Locale.ROOT, "%.1f", cpu));
         fields.put("heap_mb", "16");
         fields.putAll(extra);
         int number = ++seqid;
@@ -106,34 +97,6 @@
         return call;
     }
 
-    /** Gives the requests up whose time is over, as clients do: sends {@code cancel}. */
-    synchronized void giveUpOverdue() throws IOException {
-        for (Map.Entry<Integer, Call> e : open.entrySet()) {
-            if (Record.now() - e.getValue().sentAt > e.getValue().limitMs && open.remove(e.getKey()) != null) {
-                e.getValue().givenUp = true;
-                e.getValue().done.countDown();
-                Record.line("client " + name + ": cancel " + e.getKey());
-                socket.getOutputStream().write(cancelFrame(++seqid, e.getKey()));
-            }
-        }
-    }
-
-    private static byte[] cancelFrame(int seqid, int cancelled) throws IOException {
-        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-        DataOutputStream out = new DataOutputStream(bytes);
-        out.writeInt(0);
-        out.writeInt(0x80010004);
-        text(out, "cancel");
-        out.writeInt(seqid);
-        out.writeByte(8);
-        out.writeShort(1);
-        out.writeInt(cancelled);
-        out.writeByte(0);
-        byte[] all = bytes.toByteArray();
-        ByteBuffer.wrap(all).putInt(all.length - 4);
-        return all;
-    }
-
     private static byte[] frame(int seqid, Map<String, String> fields, byte[] body) throws IOException {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         DataOutputStream out = new DataOutputStream(bytes);
@@ -220,12 +183,4 @@
         Record.line("client " + name + ": answer to call " + number + " " + call.txn + ": " + what);
         call.done.countDown();
     }
-
-    void close() {
-        try {
-            socket.close();
-        } catch (IOException e) {
-            return;
-        }
-    }
 }
