Bound the input queue by the bytes of statements and results, not by their number alone

Cause: 2,048 inputs from peers could wait, whatever they held. Statements may have 64 KB and pages of results 48 KB, so the queue alone could hold 100 MB in a heap of 72. Evidence: InputQueueTest on the version before: all 1,000 inputs of 60,000 bytes were queued, for statements and for pages (red). Change: an input takes a permit for each 2 KB of its payload besides its own, so at most 4 MB wait, and as much again is in the batch at hand. The permits are given in the order of asking, so that a long message isn't overtaken for ever by short ones. Result: InputQueueTest passes: blocked after 68 inputs of 60,000 bytes; 1,000 short inputs do not block.

--- a/frontend/src/main/java/quincespar/program/runtime/InputQueue.java
+++ b/frontend/src/main/java/quincespar/program/runtime/InputQueue.java
@@ -9,19 +9,25 @@
 import quincespar.routing.Input;
 
 /**
- * The queue of inputs to the reducer's thread. Inputs from peers are bounded: a thread that adds one blocks while the
- * queue is full, so that it stops reading from its peers, and clients that send faster than the reducer works can't fill
- * the heap. Inputs from timers and from the program itself are few and never block, and neither does the reducer's thread.
+ * The queue of inputs to the reducer's thread. Inputs from peers are bounded by their number and by the bytes of statements
+ * and results in them: a thread that adds one blocks while the queue is full, so that it stops reading from its peers, and
+ * clients that send faster than the reducer works can't fill the heap. Inputs from timers and from the program itself are
+ * few and never block, and neither does the reducer's thread.
  */
 public final class InputQueue {
-    private static final int MAX_PEER_INPUTS = 2048;
+    /** Permits of the inputs from peers. */
+    private static final int PEER_PERMITS = 2048;
+    /** Each input takes a permit, and one more for each such part of its payload: together they bound the queue to 4 MB. */
+    private static final int PAYLOAD_BYTES_PER_PERMIT = 2048;
+    /** What was read together takes at most so many permits, as it must be queued together. */
+    private static final int MAX_PERMITS_PER_ENTRY = 256;
     private static final int MAX_BATCH_ENTRIES = 256;
 
     /** Inputs that are taken together, and the permits that they hold while they are queued. */
     private record QueuedInputs(List<Input> inputs, int permits) { }
 
     private final BlockingQueue<QueuedInputs> queue = new LinkedBlockingQueue<>();
-    private final Semaphore peerPermits = new Semaphore(MAX_PEER_INPUTS);
+    private final Semaphore peerPermits = new Semaphore(PEER_PERMITS, true);
     private volatile Thread consumer;
 
     /** Adds an input of the program itself; never blocks. */
@@ -36,11 +42,19 @@
 
     /** Adds inputs from a peer that must be taken in one batch, as they were read together; blocks while the queue is full. */
     public void addFromPeer(List<Input> together) {
-        int permits = Thread.currentThread() == consumer ? 0 : Math.min(together.size(), MAX_BATCH_ENTRIES);
+        int permits = Thread.currentThread() == consumer ? 0 : permits(together);
         peerPermits.acquireUninterruptibly(permits);
         queue.add(new QueuedInputs(List.copyOf(together), permits));
     }
 
+    private static int permits(List<Input> together) {
+        long permits = 0;
+        for (Input input : together) {
+            permits += 1 + input.payloadBytes() / PAYLOAD_BYTES_PER_PERMIT;
+        }
+        return (int) Math.min(permits, MAX_PERMITS_PER_ENTRY);
+    }
+
     /** Waits for an input and takes a batch, in order. All calls must come from the same thread. */
     public List<Input> take() throws InterruptedException {
         consumer = Thread.currentThread();
--- a/frontend/src/main/java/quincespar/routing/EngineMessage.java
+++ b/frontend/src/main/java/quincespar/routing/EngineMessage.java
@@ -8,11 +8,26 @@
     /** What the message refers to: a request's txn or a probe's tag. */
     String id();
 
+    /** The bytes of a result that it carries. */
+    default int payloadBytes() {
+        return 0;
+    }
+
     /** The query has succeeded; its result has {@code pageCount} pages. */
-    record Done(String id, int pageCount, byte[] firstPage, List<Double> load) implements EngineMessage { }
+    record Done(String id, int pageCount, byte[] firstPage, List<Double> load) implements EngineMessage {
+        @Override
+        public int payloadBytes() {
+            return firstPage.length;
+        }
+    }
 
     /** A further page of a result. */
-    record Page(String id, int number, byte[] content) implements EngineMessage { }
+    record Page(String id, int number, byte[] content) implements EngineMessage {
+        @Override
+        public int payloadBytes() {
+            return content.length;
+        }
+    }
 
     /** The engine has rejected the query for lack of capacity; it has not run. */
     record Full(String id, List<Double> load) implements EngineMessage { }
--- a/frontend/src/main/java/quincespar/routing/Input.java
+++ b/frontend/src/main/java/quincespar/routing/Input.java
@@ -11,6 +11,11 @@
 
 /** Something that happened outside the reducer. */
 public sealed interface Input {
+    /** The bytes of the statement or result that it carries, which can be many. */
+    default int payloadBytes() {
+        return 0;
+    }
+
     /** A client has connected. */
     record CallerConnected(long connection) implements Input { }
 
@@ -18,7 +23,12 @@
     record CallerNotClosed(long connection) implements Input { }
 
     /** A client's request is complete; {@code receivedAt} is when its last byte arrived. */
-    record RequestReceived(Caller caller, Query query, double receivedAt) implements Input { }
+    record RequestReceived(Caller caller, Query query, double receivedAt) implements Input {
+        @Override
+        public int payloadBytes() {
+            return query.statement().length;
+        }
+    }
 
     /** A client has cancelled one request. */
     record RequestCancelled(Caller caller) implements Input { }
@@ -36,7 +46,12 @@
     record LinkDown(long link, String cause) implements Input { }
 
     /** An engine has sent a message. */
-    record EngineMessageReceived(long link, EngineMessage message) implements Input { }
+    record EngineMessageReceived(long link, EngineMessage message) implements Input {
+        @Override
+        public int payloadBytes() {
+            return message.payloadBytes();
+        }
+    }
 
     /** A message has arrived in part on a link ({@code pending}), or that message is complete now. */
     record PartialMessage(long link, boolean pending) implements Input { }
--- /dev/null
+++ b/frontend/src/test/java/quincespar/program/runtime/InputQueueTest.java
@@ -0,0 +1,70 @@
+package quincespar.program.runtime;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import quincespar.routing.Caller;
+import quincespar.routing.EngineMessage;
+import quincespar.routing.Input;
+import quincespar.routing.Query;
+
+/** What waits for the reducer is bounded, however many peers send and however long their messages are. */
+@Timeout(30)
+class InputQueueTest {
+    private static final int PAYLOAD_BYTES = 60_000;
+    private static final int MAX_QUEUED_BYTES = 5 << 20;
+    private static final int INPUTS = 1000;
+
+    private final InputQueue queue = new InputQueue();
+
+    private static Input request() {
+        return new Input.RequestReceived(new Caller(1, 1), new Query("", 0, 0, 1, false, 1, 0, 0, new byte[PAYLOAD_BYTES]), 0);
+    }
+
+    private static Input page() {
+        return new Input.EngineMessageReceived(1, new EngineMessage.Page("", 1, new byte[PAYLOAD_BYTES]));
+    }
+
+    /** Adds inputs on another thread until it blocks or has added all; returns how many it had added. */
+    private int addUntilFull(Input input) throws InterruptedException {
+        AtomicInteger added = new AtomicInteger();
+        Thread peer = new Thread(() -> {
+            for (int i = 0; i < INPUTS; i++) {
+                queue.addFromPeer(List.of(input));
+                added.incrementAndGet();
+            }
+        });
+        peer.setDaemon(true);
+        peer.start();
+        while (peer.getState() != Thread.State.WAITING && peer.getState() != Thread.State.TERMINATED) {
+            Thread.onSpinWait();
+        }
+        int addedBeforeTaking = added.get();
+        int taken = 0;
+        while (taken < INPUTS) {
+            taken += queue.take().size();
+        }
+        peer.join();
+        return addedBeforeTaking;
+    }
+
+    /** Guards against a heap filled by long statements that wait for the reducer, whose number alone was limited. */
+    @Test
+    void longStatementsFillTheQueueByTheirBytes() throws InterruptedException {
+        assertThat(addUntilFull(request())).isBetween(1, MAX_QUEUED_BYTES / PAYLOAD_BYTES);
+    }
+
+    /** The same for results. */
+    @Test
+    void longPagesFillTheQueueByTheirBytes() throws InterruptedException {
+        assertThat(addUntilFull(page())).isBetween(1, MAX_QUEUED_BYTES / PAYLOAD_BYTES);
+    }
+
+    @Test
+    void shortInputsDoNotBlockBeforeTheirNumberIsReached() throws InterruptedException {
+        assertThat(addUntilFull(new Input.CallerConnected(1))).isEqualTo(INPUTS);
+    }
+}
