Limit open requests by the memory that they hold, and each connection by what is free

Cause: open requests were limited by number only (6,144 at 192 MB, taken as 2 KB each), whatever their statements hold. Change: RequestMemory counts what each request holds, statement and bookkeeping, until it is closed and none of its attempts is open; so requests of clients that have left count too. A connection may hold a quarter of what is free (dynamic thresholds, as in switches with one shared buffer): who sends much is limited first and the others keep room. What does not fit is refused at once, as it has not run. Counters held.request-bytes and requests.refused_for_memory.

--- a/frontend/src/main/java/quincespar/routing/Requests.java
+++ b/frontend/src/main/java/quincespar/routing/Requests.java
@@ -21,12 +21,14 @@
     private final Map<String, OpenRequest> byTxn = new HashMap<>();
     private final CallerConnections connections = new CallerConnections();
     private final OrderingKeys orderingKeys = new OrderingKeys();
+    private final RequestMemory memory;
     private final StepContext context;
     private final Bounds bounds;
     private final MetricsRecorder metrics;
     private final RecoveryCoordinator recovery;
     private Attempts attempts;
     private int maxCallers;
+    private int refusedForMemory;
     private boolean refusing;
     /** When this process ends, even if requests are open then. */
     private double shutdownAt = Double.POSITIVE_INFINITY;
@@ -36,6 +38,7 @@
         this.bounds = bounds;
         this.metrics = metrics;
         this.recovery = recovery;
+        memory = new RequestMemory(bounds.maxRequestBytes());
         maxCallers = bounds.maxCallers();
     }
 
@@ -82,6 +85,8 @@
         out.put("held.names", byTxn.size());
         out.put("held.callers", connections.size());
         out.put("held.ordering-keys", orderingKeys.size());
+        out.put("held.request-bytes", (int) memory.totalBytes());
+        out.put("requests.refused_for_memory", refusedForMemory);
     }
 
     /** The client of a request gives up soon. The decision module has not answered in its time, so the request fails here. */
@@ -149,8 +154,13 @@
             reply(input.caller(), query.classNumber(), new Reply.Refused(0));
             return;
         }
+        if (!memory.fits(input.caller().connection(), query)) { // it has not run either
+            refusedForMemory++;
+            reply(input.caller(), query.classNumber(), new Reply.Refused(0));
+            return;
+        }
         double retryAfterMs = recovery.refusalRetryAfterMs(query);
-        if (!Double.isNaN(retryAfterMs)) { // it has not run either
+        if (!Double.isNaN(retryAfterMs)) { // nor has this one
             reply(input.caller(), query.classNumber(), new Reply.Refused(retryAfterMs));
             return;
         }
@@ -171,6 +181,7 @@
                 context.settings.decision().classes().get(query.classNumber()),
                 Math.min(input.receivedAt() + query.timeoutMs(), shutdownAt) - margin, answerDeadline);
         byId.put(request.id, request);
+        memory.add(request);
         unanswered.put(request.caller, request);
         byTxn.put(query.txn(), request);
         request.orderingKey = orderingKeys.add(request, context.now);
@@ -271,6 +282,7 @@
     void removeIfEnded(OpenRequest request) {
         if (request.closed && !request.running() && byId.remove(request.id) != null) {
             byTxn.remove(request.query.txn(), request);
+            memory.remove(request);
             if (request.orderingKey != null) {
                 orderingKeys.remove(request, context.now + orderingKeyRetentionMs());
                 tellModuleInOrder(request.orderingKey);
--- a/frontend/src/test/java/quincespar/routing/ReducerTest.java
+++ b/frontend/src/test/java/quincespar/routing/ReducerTest.java
@@ -41,7 +41,7 @@
             pairs.putAll(Map.of("requestClasses." + c + ".slo", "800", "requestClasses." + c + ".hardLimit", "4000",
                     "requestClasses." + c + ".effect", c == SAFE_CLASS ? "safe" : "unsafe"));
         }
-        reducer = new Reducer(RoutingSettings.of(pairs), new Bounds(3, 5, 2000, 2500, 8, 8, 500,
+        reducer = new Reducer(RoutingSettings.of(pairs), new Bounds(3, 5, 1 << 20, 2000, 2500, 8, 8, 500,
                 new PollTiming(2000, 1000, 250, 1000, 250, 400, 5000, 10_000)), (time, newEvents) -> {
             decisions++;
             events.addAll(newEvents);
--- a/frontend/src/test/java/quincespar/routing/RetainedStateTest.java
+++ b/frontend/src/test/java/quincespar/routing/RetainedStateTest.java
@@ -38,7 +38,7 @@
         run(51, 2000);
         Map<String, Integer> late = router.reducer.retainedCounts();
         assertThat(late.get("held.links")).isLessThanOrEqualTo(early.get("held.links") + 2);
-        assertThat(late).containsEntry("held.requests", 0).containsEntry("held.names", 0)
+        assertThat(late).containsEntry("held.requests", 0).containsEntry("held.names", 0).containsEntry("held.request-bytes", 0)
                 .containsEntry("held.probes", 0).containsEntry("held.engines", early.get("held.engines"));
         assertThat(late.get("held.callers")).isEqualTo(early.get("held.callers"));
         assertThat(router.reducer.engineCounters().size()).isLessThan(257 * 20);
--- a/frontend/src/test/java/quincespar/routing/SimulatedRouter.java
+++ b/frontend/src/test/java/quincespar/routing/SimulatedRouter.java
@@ -23,6 +23,8 @@
         }
     }
 
+    static final long MAX_REQUEST_BYTES = 8 << 20;
+
     static RoutingSettings settings(int maxAttempts, Spec... specs) {
         Map<String, String> pairs = new HashMap<>(Map.of("requestClasses.count", "" + specs.length, "tick", "1",
                 "limits.maxAttempts", "" + maxAttempts, "limits.cancelling", "true", "projects.count", "1",
@@ -69,7 +71,7 @@
     /** With recovery from a power loss, null for none; loads wait for the disk. */
     SimulatedRouter(RoutingSettings settings, Recovery recovery) {
         this.settings = settings;
-        reducer = new Reducer(settings, new Bounds(100, 1000, 2000, 2500, 8, 8, 500,
+        reducer = new Reducer(settings, new Bounds(100, 1000, MAX_REQUEST_BYTES, 2000, 2500, 8, 8, 500,
                 new PollTiming(2000, 1000, 250, 1000, 250, 400, 5000, 10_000)),
                 recordingLists(new GcMuScheduler(settings.decision(), 7)), recovery, true);
         perform(reducer.start(now, "127.0.0.1:1", List.of(new FleetEvent(1, 1, true,
@@ -153,12 +155,17 @@
 
     /** A client sends a request with an ordering key. */
     Caller request(String className, String orderingKey) {
+        return request(className, orderingKey, 0);
+    }
+
+    /** A client sends a request with a statement of that length. */
+    Caller request(String className, String orderingKey, int statementBytes) {
         Caller caller = new Caller(connection, ++requests);
         int classNumber = settings.classNumbers().get(className);
         classEffects.put(caller, settings.decision().classes().get(classNumber).idempotency().name());
         step(new Input.RequestReceived(caller,
-                new Query(String.format("%016x", requests), classNumber, 0, 4000, false, 10, 0, 0, new byte[0], "", orderingKey),
-                now));
+                new Query(String.format("%016x", requests), classNumber, 0, 4000, false, 10, 0, 0, new byte[statementBytes], "",
+                        orderingKey), now));
         return caller;
     }
 
--- a/laboratory/src/main/java/quincespar/laboratory/PowerLossSimulation.java
+++ b/laboratory/src/main/java/quincespar/laboratory/PowerLossSimulation.java
@@ -103,6 +103,7 @@
     private static final int VOTERS = 5;
     private static final int MAX_TRIES = 3;
     private static final int CONNECTIONS_PER_FRONT_END = 16;
+    private static final long MAX_REQUEST_BYTES = 64 << 20;
     private static final double TICK_MS = 20;
     private static final double NETWORK_DELAY_MS = 1;
     private static final double FSYNC_MS = 3;
@@ -268,7 +269,7 @@
             Recovery recovery = scenario.recovery()
                     ? new Recovery(recoveryTimeouts, name, true, Reducer.classTraits(settings)) : null;
             PollTiming pollTiming = new PollTiming(2000, 1000, 250, 1000, 250, 400, 5000, 10_000);
-            reducer = new Reducer(settings, new Bounds(1000, 5000, 2000, 2500, 8, 8, 500, pollTiming),
+            reducer = new Reducer(settings, new Bounds(1000, 5000, MAX_REQUEST_BYTES, 2000, 2500, 8, 8, 500, pollTiming),
                     new GcMuScheduler(settings.decision(), scenario.seed() * 1000 + index), recovery, scenario.recovery());
             perform(reducer.start(LOSS_UNIX_MS + time.now(), "10.0.0.2:1", List.of(new FleetEvent(1, 1, true, members))));
             if (scenario.recovery()) {
