Lock ordering keys against the other process of the front end during an upgrade

Cause: the turns of keys are kept in the memory of one process. ProcessLocks tells of another one that is alive, but nothing told of its keys. Change: the processes of a front end publish claims on keys in a table that they map from a file below $TMPDIR (KeyTable). A request is told to the scheduler once its process holds its key: no other one holds it, lets it rest after a doubtful end, or has an earlier request waiting (KeyLocks). That covers both directions, as the old process still takes requests on its connections. A killed process's claims count for the settle period. The reducer asks with LockKey and UnlockKey and is told with KeyLocked; it needs no table where there is no $TMPDIR. A request of which the scheduler was never told is refused at its deadline instead of failed, as it has not run.

--- a/frontend/src/main/java/quincespar/program/FrontEnd.java
+++ b/frontend/src/main/java/quincespar/program/FrontEnd.java
@@ -21,6 +21,7 @@
 import quincespar.program.fleet.FleetService;
 import quincespar.program.fleet.FleetPages;
 import quincespar.program.fleet.FleetSettings;
+import quincespar.program.keys.KeyLocks;
 import quincespar.program.recovery.RecoveryJournal;
 import quincespar.program.recovery.RecoveryPages;
 import quincespar.program.recovery.RecoverySettings;
@@ -99,6 +100,8 @@
     private final EventLoop clientLoop = new EventLoop("clients");
     private final EventLoop engineLoop = new EventLoop("engines");
     private final ProcessLocks processLocks;
+    /** Null where other processes of this front end can't be detected. */
+    private final KeyLocks keyLocks;
     private final Listener listener;
     private final StatusServer status;
     /** Null without a fleet. */
@@ -130,13 +133,14 @@
         Configuration c = valid.configuration();
         configuration = c;
         processLocks = ProcessLocks.acquire(environment, c.listen());
+        keyLocks = openKeyLocks(c);
         bounds = c.bounds(settings);
         String folder = settings.text(Keyword.CAPTURE_FOLDER);
         capture = folder.isEmpty() ? null : CaptureSession.open(Path.of(folder), settings, c.name(), clock.now(), c.seed(),
                 c.site().decision(), clock, line -> log.info("{}: {}", c.name(), line));
         reducer = new Reducer(c.site(), bounds, capture == null ? new GcMuScheduler(c.site().decision(), c.seed())
                 : capture.module(), recovery == null ? null : new Recovery(recovery.timeouts(), c.name(), fleet != null,
-                Reducer.classTraits(c.site())), recovery != null && recovery.persistLoads());
+                Reducer.classTraits(c.site())), recovery != null && recovery.persistLoads(), keyLocks != null);
         recoveryJournal = recovery == null ? null : new RecoveryJournal(recovery.folder(), c.name(), inputs::add,
                 line -> log.info("{}: {}", c.name(), line));
         if (c.admin() != null) { // first, so that it answers "not ready" while the rest starts
@@ -165,6 +169,22 @@
         changeLogClient = new ChangeLogClient(engineLoop, inputs::addFromPeer);
     }
 
+    private KeyLocks openKeyLocks(Configuration c) {
+        if (processLocks.folder() == null) {
+            return null;
+        }
+        Path file = processLocks.folder().resolve("quincespar-" + processLocks.address() + "-keys-1.table");
+        try {
+            return Retry.atStartup(() -> new KeyLocks(file, ProcessLocks.MAX_PROCESSES, processLocks.ownNumber(),
+                    processLocks::mayBeAlive, c.site().decision().rules().settlePeriod(),
+                    task -> timers.schedule(KeyLocks.POLL_MS, task), inputs::add));
+        } catch (IOException e) {
+            log.warn("{}: ordering keys are not locked against other processes, as {} can't be used: {}", c.name(), file,
+                    e.getMessage());
+            return null;
+        }
+    }
+
     private static ConfigurationCheck.Valid readAtStart(Map<String, String> environment) throws IOException {
         return Retry.atStartup(() -> {
             try {
@@ -448,6 +468,10 @@
             engines.applySettings(e.settings());
         } else if (effect instanceof Effect.PersistEntry e) {
             recoveryJournal.add(e.entry(), e.request());
+        } else if (effect instanceof Effect.LockKey e) {
+            keyLocks.lock(e, clock.now() - e.arrivedAt());
+        } else if (effect instanceof Effect.UnlockKey e) {
+            keyLocks.unlock(e);
         } else if (effect instanceof Effect.ReadFleetState) {
             readFleetState();
         } else if (effect instanceof Effect.CancelPoll) {
@@ -479,6 +503,7 @@
         ProcessHandle.current().info().totalCpuDuration().ifPresent(d -> all.put("cpu.ms", Long.toString(d.toMillis())));
         all.put("log.dropped", Long.toString(logs.dropped()));
         all.put("held.timers", Integer.toString(timers.size()));
+        all.put("held.keys-awaited", Integer.toString(keyLocks == null ? 0 : keyLocks.waitingCount()));
         all.put("held.inputs", Integer.toString(inputs.size()));
         all.put("requests.open", Integer.toString(reducer.openRequests()));
         all.put("clients.connected", Integer.toString(thriftServer.connectionCount()));
--- a/frontend/src/main/java/quincespar/program/ProcessLocks.java
+++ b/frontend/src/main/java/quincespar/program/ProcessLocks.java
@@ -20,7 +20,7 @@
  */
 final class ProcessLocks implements AutoCloseable {
     /** Processes at one time; during an upgrade there are two. */
-    private static final int MAX_PROCESSES = 8;
+    static final int MAX_PROCESSES = 8;
     /** Positions of the locked bytes in a file. */
     private static final long ALIVE_BYTE = 0, SERVING_BYTE = 1;
 
@@ -93,6 +93,38 @@
         }
     }
 
+    /** The folder of the files, shared by all processes of the front end; null where others are not detected. */
+    Path folder() {
+        return folder;
+    }
+
+    /** The number of this process among those of the front end, less than {@link #MAX_PROCESSES}. */
+    int ownNumber() {
+        return ownNumber;
+    }
+
+    /** The address of the front end, in the form in which it stands in the names of files. */
+    String address() {
+        return address;
+    }
+
+    /** Whether the process of that number is alive, or may be. */
+    boolean mayBeAlive(int number) {
+        if (number == ownNumber) {
+            return true;
+        }
+        Path file = file(folder, address, number);
+        if (!Files.exists(file)) {
+            return false;
+        }
+        try (FileChannel c = FileChannel.open(file, StandardOpenOption.WRITE)) {
+            return tryLock(c, ALIVE_BYTE) == null;
+        } catch (IOException e) {
+            log.info("can't check the lock of another process, which counts as alive: {}", e.getMessage());
+            return true;
+        }
+    }
+
     /** Whether another process is alive. */
     boolean othersAlive() {
         return anyOtherHolds(ALIVE_BYTE);
--- a/frontend/src/main/java/quincespar/routing/Attempt.java
+++ b/frontend/src/main/java/quincespar/routing/Attempt.java
@@ -19,6 +19,8 @@
     Link link;
     /** How it ended; null while it is open. */
     Outcome outcome;
+    /** When it ended. */
+    double endedAt;
     /** What it ends as once its cancel is written; null while it is not cancelled. */
     Outcome cancelOutcome;
     List<Double> load = List.of();
@@ -52,6 +54,11 @@
         return request.spec.orderedByKey() && followsCancelled();
     }
 
+    /** Whether it may have run, and may still run, after its end. */
+    boolean endedInDoubt() {
+        return outcome != null && !outcome.neverRan && outcome != Outcome.OK;
+    }
+
     /** Whether the engine has reported success; pages may still be missing. */
     boolean done() {
         return pages != null;
--- a/frontend/src/main/java/quincespar/routing/Attempts.java
+++ b/frontend/src/main/java/quincespar/routing/Attempts.java
@@ -178,6 +178,7 @@
             return;
         }
         attempt.outcome = outcome;
+        attempt.endedAt = context.now;
         count(attempt, outcome);
         context.stopTimer(new TimerKey.AttemptTimeout(attempt.key));
         if (attempt.startDeadline < attempt.timeoutAt) {
--- a/frontend/src/main/java/quincespar/routing/Effect.java
+++ b/frontend/src/main/java/quincespar/routing/Effect.java
@@ -72,6 +72,17 @@
     /** An unexpected exception was caught during an activity: report it, and go on. */
     record UnexpectedError(String activity, RuntimeException error) implements Effect { }
 
+    /**
+     * Lock an ordering key against other processes of this front end; {@link Input.KeyLocked} is the answer.
+     *
+     * @param arrivedAt when the request arrived, which decides on its place among those of other processes
+     * @param settleMs  how long the key stays blocked after the end of a process that held it
+     */
+    record LockKey(long request, String key, double arrivedAt, double settleMs) implements Effect { }
+
+    /** Unlock the key of a request, which stays blocked for {@code settleMs} more, as an attempt may still run. */
+    record UnlockKey(long request, double settleMs) implements Effect { }
+
     /** Write a log line for the operators. */
     record Log(String line) implements Effect { }
 
--- a/frontend/src/main/java/quincespar/routing/Input.java
+++ b/frontend/src/main/java/quincespar/routing/Input.java
@@ -103,6 +103,9 @@
     /** Writing the entry that a request waits for has ended; {@code durable} where it is certainly on disk. */
     record PersistFinished(long request, boolean durable) implements Input { }
 
+    /** No other process of this front end has the key of a request, or an earlier request of it. */
+    record KeyLocked(long request) implements Input { }
+
     /** The state that the fleet has agreed on, null where it could not be read. */
     record FleetStateReceived(Snapshot state) implements Input { }
 
--- a/frontend/src/main/java/quincespar/routing/OpenRequest.java
+++ b/frontend/src/main/java/quincespar/routing/OpenRequest.java
@@ -24,6 +24,8 @@
     boolean closed;
     /** It waits for its recovery entry to be on disk. */
     boolean awaitingDisk;
+    /** It waits for its key, which another process of this front end may have. */
+    boolean awaitingKey;
     /** The decision module has been told of it. */
     boolean reported;
     /** The priority of its next attempts at engines, from 0 to 3. */
@@ -67,4 +69,10 @@
     boolean mayHaveRun() {
         return attempts.stream().anyMatch(a -> a.outcome == null || !a.outcome.neverRan);
     }
+
+    /** When the last attempt ended that may still run at its engine; negative infinity where there is none. */
+    double lastDoubtfulEnd() {
+        return attempts.stream().filter(Attempt::endedInDoubt).mapToDouble(a -> a.endedAt).max()
+                .orElse(Double.NEGATIVE_INFINITY);
+    }
 }
--- a/frontend/src/main/java/quincespar/routing/Reducer.java
+++ b/frontend/src/main/java/quincespar/routing/Reducer.java
@@ -31,24 +31,26 @@
     private double decidedAt;
     private boolean tickScheduled;
 
-    /** A reducer without recovery from power losses. */
+    /** A reducer without recovery from power losses, in the only process of its front end. */
     public Reducer(RoutingSettings settings, Bounds bounds, Scheduler scheduler) {
-        this(settings, bounds, scheduler, null, false);
+        this(settings, bounds, scheduler, null, false, false);
     }
 
     /**
-     * A reducer with recovery from power losses.
+     * A reducer.
      *
-     * @param recovery      null for none
+     * @param recovery      recovery from power losses, null for none
      * @param persistsLoads whether loads are sent only once an entry of them is on disk
+     * @param locksKeys     whether ordering keys are locked against other processes of this front end
      */
-    public Reducer(RoutingSettings settings, Bounds bounds, Scheduler scheduler, Recovery recovery, boolean persistsLoads) {
+    public Reducer(RoutingSettings settings, Bounds bounds, Scheduler scheduler, Recovery recovery, boolean persistsLoads,
+            boolean locksKeys) {
         this.scheduler = scheduler;
         context = new StepContext(settings);
         this.recovery = new RecoveryCoordinator(context, recovery, persistsLoads);
         engines = new EngineRegistry(settings, this.recovery);
         metrics.setClasses(settings.classNames());
-        requests = new Requests(context, bounds, metrics, this.recovery);
+        requests = new Requests(context, bounds, metrics, this.recovery, locksKeys);
         attempts = new Attempts(context, requests, engines, counters, this.recovery);
         links = new Links(context, bounds, attempts, engines, counters);
         attempts.setLinks(links);
@@ -215,6 +217,8 @@
         } else if (input instanceof Input.PersistFinished i) {
             recovery.persistFinished(i.durable());
             requests.persistFinished(requests.get(i.request()));
+        } else if (input instanceof Input.KeyLocked i) {
+            requests.keyLocked(requests.get(i.request()));
         } else if (input instanceof Input.RecoveryJournalRead i) {
             recovery.journalRead(i);
         } else if (input instanceof Input.FleetStateReceived i) {
--- a/frontend/src/main/java/quincespar/routing/Requests.java
+++ b/frontend/src/main/java/quincespar/routing/Requests.java
@@ -26,6 +26,8 @@
     private final Bounds bounds;
     private final MetricsRecorder metrics;
     private final RecoveryCoordinator recovery;
+    /** Whether ordering keys are locked against other processes of this front end. */
+    private final boolean locksKeys;
     private Attempts attempts;
     private int maxCallers;
     private int refusedForMemory;
@@ -33,11 +35,12 @@
     /** When this process ends, even if requests are open then. */
     private double shutdownAt = Double.POSITIVE_INFINITY;
 
-    Requests(StepContext context, Bounds bounds, MetricsRecorder metrics, RecoveryCoordinator recovery) {
+    Requests(StepContext context, Bounds bounds, MetricsRecorder metrics, RecoveryCoordinator recovery, boolean locksKeys) {
         this.context = context;
         this.bounds = bounds;
         this.metrics = metrics;
         this.recovery = recovery;
+        this.locksKeys = locksKeys;
         memory = new RequestMemory(bounds.maxRequestBytes());
         maxCallers = bounds.maxCallers();
     }
@@ -89,10 +92,13 @@
         out.put("requests.refused_for_memory", refusedForMemory);
     }
 
-    /** The client of a request gives up soon. The decision module has not answered in its time, so the request fails here. */
+    /**
+     * The client of a request gives up soon. The decision module has not answered in its time, so the request fails here; one of
+     * which the module was not told, as it waits for the disk or its key, has not run, and is refused.
+     */
     void deadlinePassed(OpenRequest request) {
         if (request != null && !request.closed) {
-            answer(request, new Reply.Failed());
+            answer(request, request.reported ? new Reply.Failed() : new Reply.Refused(0));
             tellModuleClosed(request);
         }
     }
@@ -185,13 +191,40 @@
         unanswered.put(request.caller, request);
         byTxn.put(query.txn(), request);
         request.orderingKey = orderingKeys.add(request, context.now);
+        lockKey(request, input.receivedAt());
         connections.requestOpened(request);
         context.stopTimer(new TimerKey.CallerIdle(request.caller.connection()));
         context.startTimer(new TimerKey.RequestDeadline(request.id), answerDeadline - context.now);
         return request;
     }
 
-    /** Tells the decision module of a request, unless that, or an earlier one of its key, waits for the disk. */
+    private void lockKey(OpenRequest request, double arrivedAt) {
+        if (locksKeys && request.orderingKey != null) {
+            request.awaitingKey = true;
+            context.addEffect(new Effect.LockKey(request.id, request.query.orderingKey(), arrivedAt, settleMs()));
+        }
+    }
+
+    private void unlockKey(OpenRequest request) {
+        if (locksKeys) {
+            context.addEffect(new Effect.UnlockKey(request.id,
+                    Math.max(0, request.lastDoubtfulEnd() + settleMs() - context.now)));
+        }
+    }
+
+    private double settleMs() {
+        return context.settings.decision().rules().settlePeriod();
+    }
+
+    /** No other process has the key of a request: the decision module may send it in its turn. */
+    void keyLocked(OpenRequest request) {
+        if (request != null && !request.closed) {
+            request.awaitingKey = false;
+            tellModuleWhenDue(request);
+        }
+    }
+
+    /** Tells the decision module of a request, unless that, or an earlier one of its key, waits for the disk or the key. */
     private void tellModuleWhenDue(OpenRequest request) {
         if (request.orderingKey != null) {
             tellModuleInOrder(request.orderingKey);
@@ -200,10 +233,10 @@
         }
     }
 
-    /** Tells the decision module of the requests of a key in the order of arrival, up to the first that waits for the disk. */
+    /** Tells the decision module of the requests of a key in the order of arrival, up to the first that must wait. */
     private void tellModuleInOrder(OrderingKeys.OrderingKey key) {
         for (OpenRequest request : key.requests) {
-            if (request.awaitingDisk) {
+            if (request.awaitingDisk || request.awaitingKey) {
                 return;
             }
             if (!request.reported && !request.closed) {
@@ -226,8 +259,7 @@
      * next decision on, which may be a tick away.
      */
     private double orderingKeyRetentionMs() {
-        Scheduler.Settings settings = context.settings.decision();
-        return settings.rules().settlePeriod() + settings.tick();
+        return settleMs() + context.settings.decision().tick();
     }
 
     /** The recovery entry of a request has been written, or could not be: the decision module may send the request now. */
@@ -284,6 +316,7 @@
             byTxn.remove(request.query.txn(), request);
             memory.remove(request);
             if (request.orderingKey != null) {
+                unlockKey(request);
                 orderingKeys.remove(request, context.now + orderingKeyRetentionMs());
                 tellModuleInOrder(request.orderingKey);
             }
--- a/frontend/src/test/java/quincespar/routing/OrderByKeyTest.java
+++ b/frontend/src/test/java/quincespar/routing/OrderByKeyTest.java
@@ -129,4 +129,56 @@
         router.request("load", "a");
         assertThat(keyNumber(4)).isGreaterThan(keyNumber(3)).isGreaterThan(keyNumber(1));
     }
+
+    private List<Effect.LockKey> keyLocks(SimulatedRouter router) {
+        return router.effects.stream().filter(Effect.LockKey.class::isInstance).map(Effect.LockKey.class::cast).toList();
+    }
+
+    private Effect.UnlockKey lastUnlock(SimulatedRouter router) {
+        return router.effects.stream().filter(Effect.UnlockKey.class::isInstance).map(Effect.UnlockKey.class::cast)
+                .reduce((a, b) -> b).orElseThrow();
+    }
+
+    /** Guards against a request that is sent while the other process of an upgrade has one of the same key out. */
+    @Test
+    void aRequestIsSentOnlyOnceItsKeyIsLockedAgainstOtherProcesses() {
+        SimulatedRouter one = new SimulatedRouter(SETTINGS, null, true);
+        one.request("load", "a");
+        one.request("load", "a");
+        one.request("load", "b");
+        one.step(new Input.KeyLocked(keyLocks(one).get(1).request()), new Input.KeyLocked(keyLocks(one).get(2).request()));
+        one.advance(50);
+        assertThat(one.running).containsOnlyKeys("0000000000000003");
+        one.step(new Input.KeyLocked(keyLocks(one).get(0).request()));
+        one.advance(10);
+        assertThat(one.running).containsOnlyKeys("0000000000000001", "0000000000000003");
+        one.settle();
+        assertThat(one.sends).hasSize(3);
+        assertThat(keyLocks(one)).extracting(Effect.LockKey::key).containsExactly("a", "a", "b");
+        assertThat(lastUnlock(one).settleMs()).isZero();
+    }
+
+    @Test
+    void theKeyOfACancelledRequestStaysBlockedForOtherProcessesForTheSettlePeriod() {
+        SimulatedRouter one = new SimulatedRouter(SETTINGS, null, true);
+        Caller caller = one.request("load", "a");
+        one.step(new Input.KeyLocked(keyLocks(one).get(0).request()));
+        one.advance(10);
+        one.step(new Input.RequestCancelled(caller));
+        one.advance(10);
+        assertThat(lastUnlock(one).settleMs()).isBetween(SETTLE_MS, SETTLE_MS + 60);
+    }
+
+    /** It has never run. */
+    @Test
+    void aRequestThatWaitsInVainForItsKeyIsAnsweredAndUnlocked() {
+        SimulatedRouter one = new SimulatedRouter(SETTINGS, null, true);
+        Caller caller = one.request("load", "a");
+        one.advance(50);
+        one.step(new Input.TimerFired(new TimerKey.RequestDeadline(keyLocks(one).get(0).request())));
+        assertThat(one.replies.get(caller)).isInstanceOf(Reply.Refused.class);
+        assertThat(lastUnlock(one)).isEqualTo(new Effect.UnlockKey(keyLocks(one).get(0).request(), 0));
+        one.step(new Input.KeyLocked(keyLocks(one).get(0).request()));
+        assertThat(one.running).isEmpty();
+    }
 }
