Share a front end's retry budget and cold allowance between its processes

Cause: each process counts only the attempts that it has sent itself against limits that hold for the front end: the retry budget, and the allowance of a cold engine. That a cold engine falls by this was not reproduced: it follows from the code, as each process may send 0.7 of the allowance. Change: ProcessOverlap, told by FrontEnd's look at the lock files every 0.5 s. While another process is alive, and for one more window, each has half of a cold engine's allowance, and the retries that need no requests belong to the older process. The scheduler is told by settings, so that captures replay.

--- a/decision/src/main/java/quincespar/decision/Scheduler.java
+++ b/decision/src/main/java/quincespar/decision/Scheduler.java
@@ -101,6 +101,20 @@
     record Rules(double answerSlack, double discoveryInterval, double coldPeriod, double coldCapacityShare,
             double drainGrace, double overloadWindow, double overloadMultiple, double settlePeriod,
             double retryBudgetBase, double retryBudgetRatio, double retryBudgetWindow) {
+        /** These rules with another multiple that overloads a cold engine. */
+        public Rules withOverloadMultiple(double otherOverloadMultiple) {
+            return new Rules(answerSlack, discoveryInterval, coldPeriod, coldCapacityShare, drainGrace,
+                    overloadWindow, otherOverloadMultiple, settlePeriod, retryBudgetBase, retryBudgetRatio,
+                    retryBudgetWindow);
+        }
+
+        /** These rules with another number of retries beside the share. */
+        public Rules withRetryBudgetBase(double otherRetryBudgetBase) {
+            return new Rules(answerSlack, discoveryInterval, coldPeriod, coldCapacityShare, drainGrace,
+                    overloadWindow, overloadMultiple, settlePeriod, otherRetryBudgetBase, retryBudgetRatio,
+                    retryBudgetWindow);
+        }
+
         /** These rules with another settle period. */
         public Rules withSettlePeriod(double otherSettlePeriod) {
             return new Rules(answerSlack, discoveryInterval, coldPeriod, coldCapacityShare, drainGrace,
--- a/frontend/src/main/java/quincespar/program/FrontEnd.java
+++ b/frontend/src/main/java/quincespar/program/FrontEnd.java
@@ -239,12 +239,14 @@
     }
 
     private void start() throws IOException, InterruptedException {
-        if (processLocks.othersAlive()) {
+        boolean besideOlderProcess = processLocks.othersAlive();
+        if (besideOlderProcess) {
             int callerLimit = (int) (configuration.sockets() * UPGRADE_CALLER_SHARE);
             inputs.add(new Input.CallerLimitChanged(Math.min(bounds.maxCallers(), callerLimit)));
             thriftServer.setConnectionLimit((int) (configuration.sockets() * UPGRADE_CLIENT_SHARE));
-            raiseLimitsOnceAlone();
+            inputs.add(new Input.OtherProcesses(true, true));
         }
+        watchOtherProcesses(besideOlderProcess, besideOlderProcess);
         new Warmup(configuration, bounds, thriftServer).run();
         engineLoop.start();
         perform(reducer.start(clock.now(), configuration.changeLog(), configuration.known().events(),
@@ -295,18 +297,29 @@
         return fleetService == null ? "" : FleetPages.metrics(fleetService);
     }
 
-    /** Sets the full limits once the older process has ended. */
-    private void raiseLimitsOnceAlone() {
+    /** Checks periodically which other processes of this front end are alive, and sets the limits by that. */
+    private void watchOtherProcesses(boolean othersAlive, boolean olderAlive) {
         timers.schedule(OTHERS_CHECK_INTERVAL_MS, () -> {
-            if (processLocks.othersAlive()) {
-                raiseLimitsOnceAlone();
-            } else if (lifecycle.phase().compareTo(Phase.SERVING) <= 0) {
-                inputs.add(new Input.CallerLimitChanged(bounds.maxCallers()));
-                thriftServer.setConnectionLimit((int) (configuration.sockets() * CLIENT_SHARE));
+            boolean nowAlive = processLocks.othersAlive();
+            boolean olderNowAlive = olderAlive && nowAlive;
+            if (nowAlive != othersAlive) {
+                inputs.add(new Input.OtherProcesses(nowAlive, olderNowAlive));
             }
+            if (olderAlive && !olderNowAlive) {
+                raiseLimits();
+            }
+            watchOtherProcesses(nowAlive, olderNowAlive);
         });
     }
 
+    /** Sets the full limits, as the older process has ended. */
+    private void raiseLimits() {
+        if (lifecycle.phase().compareTo(Phase.SERVING) <= 0) {
+            inputs.add(new Input.CallerLimitChanged(bounds.maxCallers()));
+            thriftServer.setConnectionLimit((int) (configuration.sockets() * CLIENT_SHARE));
+        }
+    }
+
     /** Publishes the reducer's state for other threads. */
     private void publish() {
         lifecycle.setEngineAvailable(reducer.canServe());
--- a/frontend/src/main/java/quincespar/routing/ClusterState.java
+++ b/frontend/src/main/java/quincespar/routing/ClusterState.java
@@ -17,6 +17,7 @@
     private final MetricsRecorder metrics;
     private final Membership membership;
     private final PeerShares peers;
+    private final ProcessOverlap overlap = new ProcessOverlap();
     private final RecoveryCoordinator recovery;
     /** The last reload of the configuration; what an earlier one has read is ignored. */
     private long reloadId;
@@ -83,7 +84,7 @@
             context.addEffect(new Effect.ConfigurationAccepted(input.document()));
             // open requests, links and what is known of the fleet are kept
             peers.configure(input.settings().keepingNumbersOf(context.settings));
-            apply(peers.settings());
+            updateOverlap();
             perform(membership.addressChanged(context.now, input.changeLogAddress()));
         }
     }
@@ -168,7 +169,7 @@
 
     /** Applies the number of front ends that is in force now, and waits until it may change without an input. */
     private void updateShares() {
-        apply(peers.settings());
+        applyLimits();
         double delayMs = peers.timerDelayMs(context.now);
         if (delayMs < Double.POSITIVE_INFINITY) {
             context.startTimer(new TimerKey.ShareGrowth(), delayMs);
@@ -177,6 +178,31 @@
         }
     }
 
+    /** Which other processes of this front end are alive has changed. */
+    void otherProcesses(Input.OtherProcesses input) {
+        overlap.changed(context.now, input);
+        updateOverlap();
+    }
+
+    /** What another process has sent no longer counts against a budget. */
+    void overlapTimerFired() {
+        updateOverlap();
+    }
+
+    private void updateOverlap() {
+        applyLimits();
+        double delayMs = overlap.nextChangeMs(peers.settings(), context.now);
+        if (delayMs < Double.POSITIVE_INFINITY) {
+            context.startTimer(new TimerKey.OverlapEnd(), delayMs);
+        } else {
+            context.stopTimer(new TimerKey.OverlapEnd());
+        }
+    }
+
+    private void applyLimits() {
+        apply(overlap.limit(peers.settings(), context.now));
+    }
+
     /** Tells the module the list again if recovery has changed which engines take work, or since when they count as started. */
     void relistAfterRecovery() {
         if (recovery.takeRelist()) {
--- a/frontend/src/main/java/quincespar/routing/Input.java
+++ b/frontend/src/main/java/quincespar/routing/Input.java
@@ -74,6 +74,13 @@
     /** The process ends at that time even if requests are open: each must be answered before. */
     record ShutdownScheduled(double time) implements Input { }
 
+    /**
+     * Which other processes of this front end are alive has changed.
+     *
+     * @param olderAlive whether one of them serves since before this one
+     */
+    record OtherProcesses(boolean alive, boolean olderAlive) implements Input { }
+
     /** Clients have had time to move to another front end: new requests are refused from now on, as they have not run. */
     record RefuseNewRequests() implements Input { }
 
--- a/frontend/src/main/java/quincespar/routing/Reducer.java
+++ b/frontend/src/main/java/quincespar/routing/Reducer.java
@@ -204,6 +204,8 @@
             cluster.pollFailed(i);
         } else if (input instanceof Input.FleetChanged i) {
             cluster.fleetChanged(i);
+        } else if (input instanceof Input.OtherProcesses i) {
+            cluster.otherProcesses(i);
         } else if (input instanceof Input.CallerLimitChanged i) {
             requests.limitCallers(i.maxCallers());
         } else if (input instanceof Input.ShutdownScheduled i) {
@@ -282,6 +284,8 @@
             recovery.timerFired(k.timerId());
         } else if (key instanceof TimerKey.ShareGrowth) {
             cluster.shareTimerFired();
+        } else if (key instanceof TimerKey.OverlapEnd) {
+            cluster.overlapTimerFired();
         }
     }
 }
--- a/frontend/src/main/java/quincespar/routing/RoutingSettings.java
+++ b/frontend/src/main/java/quincespar/routing/RoutingSettings.java
@@ -84,6 +84,12 @@
                 : new RoutingSettings(shared, zones, kinds, linkIdleMs, maxStreamsPerLink, classNumbers, tenantNumbers);
     }
 
+    /** These settings with other rules. */
+    RoutingSettings withRules(Scheduler.Rules rules) {
+        return rules.equals(decision.rules()) ? this : new RoutingSettings(decision.withRules(rules), zones, kinds, linkIdleMs,
+                maxStreamsPerLink, classNumbers, tenantNumbers);
+    }
+
     private static <T> List<T> merge(List<T> previous, List<T> next, Function<T, String> name) {
         Map<String, Integer> nextIndexes = indexByName(next, name);
         Map<String, Integer> previousIndexes = indexByName(previous, name);
--- a/frontend/src/main/java/quincespar/routing/TimerKey.java
+++ b/frontend/src/main/java/quincespar/routing/TimerKey.java
@@ -43,4 +43,7 @@
 
     /** Fewer front ends have been known for long enough: this one's share of the engines may grow. */
     record ShareGrowth() implements TimerKey { }
+
+    /** What another process of this front end has sent no longer counts against a budget. */
+    record OverlapEnd() implements TimerKey { }
 }
--- a/frontend/src/test/java/quincespar/program/UpgradeOrderIT.java
+++ b/frontend/src/test/java/quincespar/program/UpgradeSharingIT.java
@@ -9,17 +9,26 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 
-/** Loads of one ordering key, some taken by the old and some by the new process of an upgrade, run one at a time, in order. */
+/**
+ * The old and the new process of an upgrade act as one front end: their loads of one ordering key run one at a time, in order, and
+ * their retries keep one budget.
+ */
 @Timeout(120)
-class UpgradeOrderIT {
+class UpgradeSharingIT {
     private static final String LOAD =
             "{\"name\":\"load\",\"slo\":2000,\"hardLimit\":20000,\"effect\":\"unsafe\",\"keepOrder\":true}";
+    private static final String RULES = """
+        "tick":5,"rules":{"settleAfterDoubt":300,"budgetFree":3,"resendRatio":0.1,"budgetSpan":5000}""";
+    private static final int LOOKUPS_EACH = 10;
+    /** 3, and a tenth of 20 lookups and the load. */
+    private static final int RETRY_BUDGET = 5;
 
     private final List<Process> started = new ArrayList<>();
     @TempDir
@@ -41,7 +50,7 @@
         port = ScriptedPeers.freePort();
         Files.createDirectory(folder.resolve("tmp"));
         file = Files.writeString(folder.resolve("config.json"), ScriptedPeers.configuration(port, new ScriptedPeers.ChangeLog(),
-                engine, LOAD).replace("\"tick\":5", "\"tick\":5,\"rules\":{\"settleAfterDoubt\":300}"));
+                engine, LOAD, ScriptedPeers.LOOKUP).replace("\"tick\":5", RULES));
         old = start();
         oldClient = new ScriptedPeers.Client(port);
         head = assertNextSent(load(oldClient, "a"));
@@ -113,4 +122,28 @@
         ScriptedPeers.Engine.Command next = assertNextSent(second);
         assertThat((next.receivedAtNanos() - killedAt) / 1e6).isGreaterThanOrEqualTo(300);
     }
+
+    /** Guards against a retry budget that each of the two processes uses in full. */
+    @Test
+    void theRetriesOfBothProcessesStayWithinTheBudgetOfOneFrontEnd() throws Exception {
+        Map<String, Integer> attempts = new ConcurrentHashMap<>();
+        ScriptedPeers.runAsync(() -> {
+            while (true) {
+                ScriptedPeers.Engine.Command command = engine.commands.take();
+                if (command.words().get(0).equals("serve")) {
+                    attempts.merge(command.id(), 1, Integer::sum);
+                    command.answer(command.id(), "BROKE");
+                }
+            }
+        });
+        for (int i = 0; i < LOOKUPS_EACH; i++) {
+            oldClient.call(2000 + i, ScriptedPeers.fields("lookup", String.format("%016x", 100 + i)));
+            newClient.call(2000 + i, ScriptedPeers.fields("lookup", String.format("%016x", 200 + i)));
+        }
+        for (int i = 0; i < LOOKUPS_EACH; i++) {
+            assertThat(oldClient.answer()).isIn(ScriptedPeers.Kind.FAILED, ScriptedPeers.Kind.REFUSED);
+            assertThat(newClient.answer()).isIn(ScriptedPeers.Kind.FAILED, ScriptedPeers.Kind.REFUSED);
+        }
+        assertThat(attempts.values().stream().mapToInt(n -> n - 1).sum()).isBetween(1, RETRY_BUDGET);
+    }
 }
