Close the connection that held most for longest once all outboxes together are full

Cause: all outboxes share 16 MB, with no account of who holds them; the connection whose answer came next was closed, whether its client read or not. Change: OutboxLimit knows the connections whose bytes wait. Where the shared limit is reached, the one with the largest product of bytes and time since its peer took any is closed, until there is room; only one that would give way to itself is refused. It holds for links to engines too.

--- a/frontend/src/main/java/quincespar/transport/Connection.java
+++ b/frontend/src/main/java/quincespar/transport/Connection.java
@@ -215,10 +215,22 @@
      * {@code written} runs after the last byte.
      */
     public boolean send(byte[] bytes, WithdrawableWrite write, Runnable written) {
+        OutboxLimit.Reservation reservation = trySend(bytes, write, written);
+        while (reservation == OutboxLimit.Reservation.TOTAL_FULL && limit.makeRoom(this)) {
+            reservation = trySend(bytes, write, written);
+        }
+        return reservation == OutboxLimit.Reservation.RESERVED;
+    }
+
+    private OutboxLimit.Reservation trySend(byte[] bytes, WithdrawableWrite write, Runnable written) {
         List<Runnable> callbacks = new ArrayList<>(1);
         synchronized (outbox) {
-            if (phase.compareTo(Phase.FINISHING) >= 0 || !limit.reserve(queuedBytes, bytes.length)) {
-                return false;
+            if (phase.compareTo(Phase.FINISHING) >= 0) {
+                return OutboxLimit.Reservation.OUTBOX_FULL;
+            }
+            OutboxLimit.Reservation reservation = limit.reserve(queuedBytes, bytes.length);
+            if (reservation != OutboxLimit.Reservation.RESERVED) {
+                return reservation;
             }
             queuedBytes += bytes.length;
             boolean first = outbox.isEmpty();
@@ -227,9 +239,19 @@
             if (first && phase == Phase.OPEN) {
                 write(callbacks);
             }
+            if (!outbox.isEmpty()) {
+                limit.addHolder(this);
+            }
         }
         callbacks.forEach(Runnable::run); // outside the lock: a callback may block, and other threads send here
-        return true;
+        return OutboxLimit.Reservation.RESERVED;
+    }
+
+    /** The queued bytes, multiplied by the time since the peer last took some of them. */
+    double heldByteNanos(long nowNanos) {
+        synchronized (outbox) {
+            return (double) queuedBytes * (nowNanos - lastWriteProgressAt);
+        }
     }
 
     /** Writes as much as the socket buffer takes; the loop writes the rest. Called with the lock on the outbox held. */
@@ -252,6 +274,7 @@
                 queuedBytes -= f.size();
                 limit.release(f.size());
             }
+            limit.removeHolder(this);
             if (phase == Phase.FINISHING) {
                 phase = Phase.FINISHED;
                 loop.executeInLoop(this::shutDownOutput);
@@ -324,6 +347,7 @@
             outbox.clear();
             limit.release(queuedBytes); // dropped frames no longer count against the shared limit
             queuedBytes = 0;
+            limit.removeHolder(this);
             return true;
         }
     }
