Fail a result that is too long before all of its pages are held

Cause: the length of a result (48,000 bytes at most) was checked once all of its pages were there: up to 64 pages of 48,000 bytes, 3 MB for each attempt, in a heap of 72. Evidence: ReducerTest: an attempt with 48,001 bytes of 64 pages went on (red). Change: the length is checked with each page; the pages are released and the attempt fails. A retry goes on another link, as pages of the first attempt may still arrive on its own, under the same name. Result: aResultThatIsTooLongFailsBeforeAllOfItsPagesAreHeld green.

--- a/frontend/src/main/java/quincespar/routing/Attempt.java
+++ b/frontend/src/main/java/quincespar/routing/Attempt.java
@@ -26,6 +26,7 @@
     List<Double> load = List.of();
     private byte[][] pages;
     private int missingPages;
+    private int resultBytes;
 
     Attempt(OpenRequest request, int number, long engine, double createdAt, double timeoutAt, double startDeadline) {
         this.request = request;
@@ -82,10 +83,16 @@
         if (pages[number] == null) {
             pages[number] = page;
             missingPages--;
+            resultBytes += page.length;
         }
         return true;
     }
 
+    /** The length of the pages that have arrived. */
+    int resultBytes() {
+        return resultBytes;
+    }
+
     boolean hasAllPages() {
         return missingPages == 0;
     }
--- a/frontend/src/main/java/quincespar/routing/Attempts.java
+++ b/frontend/src/main/java/quincespar/routing/Attempts.java
@@ -298,24 +298,26 @@
         }
         attempt.load = done.load();
         attempt.startResult(done.pageCount(), done.firstPage());
-        for (int page = 1; page < done.pageCount(); page++) {
+        for (int page = 1; page < done.pageCount() && attempt.resultBytes() <= MAX_RESULT_BYTES; page++) {
             context.addEffect(new Effect.ReadPage(attempt.link.id, done.id(), page));
         }
         answerIfComplete(attempt);
     }
 
     private void answerIfComplete(Attempt attempt) {
-        if (!attempt.hasAllPages()) {
+        boolean tooLong = attempt.resultBytes() > MAX_RESULT_BYTES; // known before all pages are there, which would be held till then
+        if (!tooLong && !attempt.hasAllPages()) {
             return;
         }
         if (attempt.pageCount() > 1) {
             context.addEffect(new Effect.Release(attempt.link.id, attempt.txn()));
         }
-        byte[] result = attempt.result();
-        if (result.length > MAX_RESULT_BYTES) {
+        if (tooLong) {
+            attempt.link.answered.add(attempt.txn()); // a retry goes on another link, as pages may still arrive on this one
             fail(attempt);
             return;
         }
+        byte[] result = attempt.result();
         if (attempt.blocksKeyDespiteReport()) { // it ends, and the key is free, only once its cancel is written
             requests.answer(attempt.request, new Reply.Served(result));
             cancelUnlessCancelled(attempt, Outcome.CANCELLED);
--- a/frontend/src/test/java/quincespar/routing/ReducerTest.java
+++ b/frontend/src/test/java/quincespar/routing/ReducerTest.java
@@ -170,6 +170,22 @@
         assertThat(lastOutcome()).isEqualTo(Outcome.ERROR);
     }
 
+    /** Guards against a heap filled by results that are too long, as each could have 64 pages of 48,000 bytes until its last one. */
+    @Test
+    void aResultThatIsTooLongFailsBeforeAllOfItsPagesAreHeld() {
+        Effect.Send send = sendRequest(SAFE_CLASS);
+        beginWrite(send);
+        step(received(send, new EngineMessage.Done(send.txn(), 64, new byte[48_000], List.of())));
+        assertThat(lastOutcome()).isNull();
+        step(received(send, new EngineMessage.Page(send.txn(), 1, new byte[1])));
+        assertThat(lastOutcome()).isEqualTo(Outcome.ERROR);
+        assertThat(of(Effect.Release.class, effects)).hasSize(1);
+        assertThat(of(Effect.Answer.class, effects)).isEmpty();
+        plannedActions.add(new Scheduler.SendAttempt(REQUEST, engine(0), 0));
+        decide();
+        assertThat(last(Effect.OpenLink.class).link()).isNotEqualTo(send.link()); // further pages may arrive on the first one
+    }
+
     @Test
     void anUnsafeRequestIsNeitherRetriedNorRefusedOnceBytesWereWritten() {
         Effect.Send send = sendRequest(UNSAFE_CLASS);
