Let no error of the Java machine end a thread that serves peers, whatever it is wrapped in

Cause: the reducer's thread and the event loops went on after an OutOfMemoryError, but not after another error that wraps one, such as the InternalError with which the JDK reports a failure to link a call. That the reducer's thread goes on has no test of its own: nothing from outside makes a step throw such an error. Change: both catch VirtualMachineError, log it and count it, as before for lack of memory. The test aFailingHandlerClosesItsOwnConnectionOnly is now two, with the exception as before and with the error.

--- a/frontend/src/main/java/quincespar/program/FrontEnd.java
+++ b/frontend/src/main/java/quincespar/program/FrontEnd.java
@@ -422,7 +422,7 @@
             long us = Math.round(1000 * (clock.now() - from));
             stepUs.addAndGet(us);
             longestStepUs.accumulateAndGet(us, Math::max);
-        } catch (RuntimeException | OutOfMemoryError e) { // no input from a peer may end the program
+        } catch (RuntimeException | VirtualMachineError e) { // no input from a peer may end the program
             reportError("in the reducer", e);
         }
     }
@@ -432,7 +432,7 @@
             counters.countEffect(e);
             try {
                 perform(e);
-            } catch (RuntimeException | OutOfMemoryError x) { // the other effects must still be performed
+            } catch (RuntimeException | VirtualMachineError x) { // the other effects must still be performed
                 reportError("performing " + e.getClass().getSimpleName(), x);
             }
         }
--- a/frontend/src/main/java/quincespar/transport/EventLoop.java
+++ b/frontend/src/main/java/quincespar/transport/EventLoop.java
@@ -135,7 +135,7 @@
             } catch (IOException e) {
                 log.error("event loop {}: select failed; retrying in {} ms: {}", name, SELECT_RETRY_MS, e.getMessage());
                 LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(SELECT_RETRY_MS));
-            } catch (RuntimeException | OutOfMemoryError e) {
+            } catch (RuntimeException | VirtualMachineError e) {
                 log.error("event loop {}: a task failed", name, e);
             }
         }
@@ -169,7 +169,7 @@
             handler.ready(key);
         } catch (CancelledKeyException e) { // closed by a task in this pass, and its owner was notified
             handler.failed(e);
-        } catch (RuntimeException | OutOfMemoryError | StackOverflowError e) {
+        } catch (RuntimeException | VirtualMachineError e) {
             // input from a peer must at most close its own connection
             log.error("event loop {}: a channel handler failed", name, e);
             handler.failed(e);
--- a/frontend/src/test/java/quincespar/transport/ConnectionTest.java
+++ b/frontend/src/test/java/quincespar/transport/ConnectionTest.java
@@ -349,13 +349,27 @@
         }
     }
 
+    /** An OutOfMemoryError may come as another error, as the JDK wraps it in an InternalError while it links a call. */
     @Test
-    void aFailingHandlerClosesItsOwnConnectionOnly() throws Exception {
+    void aHandlerThatFailsWithAnErrorOfTheMachineClosesItsOwnConnectionOnly() throws Exception {
+        aFailingHandlerClosesItsOwnConnectionOnly(() -> {
+            throw new InternalError("unforeseen");
+        });
+    }
+
+    @Test
+    void aHandlerThatFailsWithAnExceptionClosesItsOwnConnectionOnly() throws Exception {
+        aFailingHandlerClosesItsOwnConnectionOnly(() -> {
+            throw new IllegalStateException("unforeseen");
+        });
+    }
+
+    private void aFailingHandlerClosesItsOwnConnectionOnly(Runnable failure) throws Exception {
         try (Socket bad = peer(); Socket good = peer()) {
             accepted(new OutboxLimit(100, 100)).start(new Connection.Handler() {
                 @Override
                 public void received(byte[] bytes, int count) {
-                    throw new IllegalStateException("unforeseen");
+                    failure.run();
                 }
 
                 @Override
