Prepare the table of ordering keys for its first request at the start

Cause: seen in reading: the first hash loads the JDK's security providers, 22 to 29 ms measured alone on this machine, which the first request of a key would wait for; and where $TMPDIR is in memory and full, a first read of another process's segment could fail then. Change: both are done when the table is opened, where a failure is reported and leaves each process its own order. Result: KeyLocksTest and UpgradeSharingIT green; no test makes a page unreadable.

--- a/frontend/src/main/java/quincespar/program/keys/KeyLocks.java
+++ b/frontend/src/main/java/quincespar/program/keys/KeyLocks.java
@@ -94,6 +94,7 @@
         this.post = post;
         this.nanoTime = nanoTime;
         table = KeyTable.open(file, slots, ownSlot);
+        hash(""); // the first one takes tens of milliseconds, which no request is to wait for
         takeOver(nanos(settleMs));
     }
 
--- a/frontend/src/main/java/quincespar/program/keys/KeyTable.java
+++ b/frontend/src/main/java/quincespar/program/keys/KeyTable.java
@@ -66,7 +66,18 @@
                 StandardOpenOption.WRITE)) {
             MappedByteBuffer memory = channel.map(FileChannel.MapMode.READ_WRITE, 0, (long) slots * SEGMENT_BYTES);
             allocate(channel, memory, ownSlot);
-            return new KeyTable(memory, slots, ownSlot);
+            KeyTable table = new KeyTable(memory, slots, ownSlot);
+            table.readAllHeaders();
+            return table;
+        } catch (InternalError e) { // how the JVM reports a page that can't be read
+            throw new IOException("a page of " + file + " can't be read", e);
+        }
+    }
+
+    /** Reads the beginning of each segment: where the folder is in memory, that allocates what later reads need. */
+    private void readAllHeaders() {
+        for (int slot = 0; slot < slots; slot++) {
+            used(slot);
         }
     }
 
