Never let the reducer's thread wait for the input queue behind peers

A fair semaphore lets even a request for no permits wait behind others, and the reducer's thread asks for none when it adds an input itself, as after a write. With many short inputs queued and two peers waiting, the thread that alone frees permits then waits for them: the front end stands still for good. Change: the permits are as before, not fair; long messages are let in as the reducer empties the queue.

--- a/frontend/src/main/java/quincespar/program/runtime/InputQueue.java
+++ b/frontend/src/main/java/quincespar/program/runtime/InputQueue.java
@@ -27,7 +27,7 @@
     private record QueuedInputs(List<Input> inputs, int permits) { }
 
     private final BlockingQueue<QueuedInputs> queue = new LinkedBlockingQueue<>();
-    private final Semaphore peerPermits = new Semaphore(PEER_PERMITS, true);
+    private final Semaphore peerPermits = new Semaphore(PEER_PERMITS);
     private volatile Thread consumer;
 
     /** Adds an input of the program itself; never blocks. */
--- a/frontend/src/test/java/quincespar/program/runtime/InputQueueTest.java
+++ b/frontend/src/test/java/quincespar/program/runtime/InputQueueTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -17,6 +18,7 @@
     private static final int PAYLOAD_BYTES = 60_000;
     private static final int MAX_QUEUED_BYTES = 5 << 20;
     private static final int INPUTS = 1000;
+    private static final int MORE_THAN_FIT = 3000;
 
     private final InputQueue queue = new InputQueue();
 
@@ -31,8 +33,20 @@
     /** Adds inputs on another thread until it blocks or has added all; returns how many it had added. */
     private int addUntilFull(Input input) throws InterruptedException {
         AtomicInteger added = new AtomicInteger();
+        Thread peer = addOnAnotherThread(input, INPUTS, added);
+        int addedBeforeTaking = added.get();
+        int taken = 0;
+        while (taken < INPUTS) {
+            taken += queue.take().size();
+        }
+        peer.join();
+        return addedBeforeTaking;
+    }
+
+    /** Adds inputs on another thread; returns once it blocks or has added all. */
+    private Thread addOnAnotherThread(Input input, int count, AtomicInteger added) {
         Thread peer = new Thread(() -> {
-            for (int i = 0; i < INPUTS; i++) {
+            for (int i = 0; i < count; i++) {
                 queue.addFromPeer(List.of(input));
                 added.incrementAndGet();
             }
@@ -42,13 +56,37 @@
         while (peer.getState() != Thread.State.WAITING && peer.getState() != Thread.State.TERMINATED) {
             Thread.onSpinWait();
         }
-        int addedBeforeTaking = added.get();
-        int taken = 0;
-        while (taken < INPUTS) {
-            taken += queue.take().size();
-        }
-        peer.join();
-        return addedBeforeTaking;
+        return peer;
+    }
+
+    /** Guards against a reducer's thread that waits for ever behind peers that wait for it. */
+    @Test
+    void theReducersThreadDoesNotBlockThoughPeersWait() throws InterruptedException {
+        Input small = new Input.CallerConnected(1);
+        AtomicInteger added = new AtomicInteger();
+        CountDownLatch taken = new CountDownLatch(1);
+        CountDownLatch peersWait = new CountDownLatch(1);
+        CountDownLatch notBlocked = new CountDownLatch(1);
+        queue.add(small);
+        Thread reducer = new Thread(() -> {
+            try {
+                queue.take();
+                taken.countDown();
+                peersWait.await();
+                queue.addFromPeer(small);
+                notBlocked.countDown();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        reducer.setDaemon(true);
+        reducer.start();
+        taken.await();
+        addOnAnotherThread(small, MORE_THAN_FIT, added);
+        addOnAnotherThread(small, MORE_THAN_FIT, added);
+        assertThat(added).hasValueLessThan(2 * MORE_THAN_FIT);
+        peersWait.countDown();
+        notBlocked.await();
     }
 
     /** Guards against a heap filled by long statements that wait for the reducer, whose number alone was limited. */
