Try only the new request's key when it is locked, not those that wait again

Cause: read once more: each request with a key had all waiting ones look through the other processes' claims again, on the reducer's thread, though they are tried every 5 ms anyway. Change: lock tries its own claim; the poll tries the rest.

--- a/frontend/src/main/java/quincespar/program/keys/KeyLocks.java
+++ b/frontend/src/main/java/quincespar/program/keys/KeyLocks.java
@@ -11,7 +11,6 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -116,8 +115,11 @@
         lastTicket = Math.max(lastTicket + 1, nanoTime.getAsLong() - nanos(waitedMs));
         Claim claim = new Claim(effect.request(), hash(effect.key()), lastTicket, nanos(effect.settleMs()));
         byRequest.put(claim.request, claim);
-        waiting.add(claim);
-        acquireAll();
+        freeSettled();
+        if (!acquireAndPost(claim)) {
+            waiting.add(claim);
+            schedulePollIfNeeded();
+        }
     }
 
     /** The request has ended, or no longer waits; its key stays blocked for a while where one of its attempts may still run. */
@@ -144,17 +146,20 @@
 
     private synchronized void poll() {
         pollScheduled = false;
-        acquireAll();
+        freeSettled();
+        waiting.removeIf(this::acquireAndPost);
+        schedulePollIfNeeded();
     }
 
-    private void acquireAll() {
-        freeSettled();
-        for (Claim claim : List.copyOf(waiting)) {
-            if (acquire(claim)) {
-                waiting.remove(claim);
-                post.accept(new Input.KeyLocked(claim.request));
-            }
+    private boolean acquireAndPost(Claim claim) {
+        boolean acquired = acquire(claim);
+        if (acquired) {
+            post.accept(new Input.KeyLocked(claim.request));
         }
+        return acquired;
+    }
+
+    private void schedulePollIfNeeded() {
         if (!waiting.isEmpty() && !pollScheduled) {
             pollScheduled = true;
             schedulePoll.accept(this::poll);
