Write once how a lock file is looked at, how rules are copied and how a request is refused

Change: ProcessLocks.holds, RoutingSettings.withDecision, Rules.withBudgets, Requests.refusalRetryAfterMs; one over-long line is wrapped. A lock file that can't be checked is logged with one text in both cases.

--- a/decision/src/main/java/quincespar/decision/Scheduler.java
+++ b/decision/src/main/java/quincespar/decision/Scheduler.java
@@ -101,17 +101,10 @@
     record Rules(double answerSlack, double discoveryInterval, double coldPeriod, double coldCapacityShare,
             double drainGrace, double overloadWindow, double overloadMultiple, double settlePeriod,
             double retryBudgetBase, double retryBudgetRatio, double retryBudgetWindow) {
-        /** These rules with another multiple that overloads a cold engine. */
-        public Rules withOverloadMultiple(double otherOverloadMultiple) {
+        /** These rules with another multiple that overloads a cold engine, and another number of retries beside the share. */
+        public Rules withBudgets(double otherOverloadMultiple, double otherRetryBudgetBase) {
             return new Rules(answerSlack, discoveryInterval, coldPeriod, coldCapacityShare, drainGrace,
-                    overloadWindow, otherOverloadMultiple, settlePeriod, retryBudgetBase, retryBudgetRatio,
-                    retryBudgetWindow);
-        }
-
-        /** These rules with another number of retries beside the share. */
-        public Rules withRetryBudgetBase(double otherRetryBudgetBase) {
-            return new Rules(answerSlack, discoveryInterval, coldPeriod, coldCapacityShare, drainGrace,
-                    overloadWindow, overloadMultiple, settlePeriod, otherRetryBudgetBase, retryBudgetRatio,
+                    overloadWindow, otherOverloadMultiple, settlePeriod, otherRetryBudgetBase, retryBudgetRatio,
                     retryBudgetWindow);
         }
 
--- a/frontend/src/main/java/quincespar/program/Configuration.java
+++ b/frontend/src/main/java/quincespar/program/Configuration.java
@@ -33,8 +33,8 @@
     Bounds bounds(Settings s) {
         return new Bounds(Math.max(1, (int) (sockets * s.number(Keyword.CLIENTS_DESCRIPTOR_SHARE) / 100)),
                 Bounds.maxRequestsFor(memoryMb), Bounds.maxRequestBytesFor(Runtime.getRuntime().maxMemory()),
-                s.number(Keyword.CLIENTS_FIRST_REQUEST_TIMEOUT), s.number(Keyword.CLIENTS_IDLE_TIMEOUT), s.count(Keyword.LINKS_PER_ENGINE),
-                s.count(Keyword.LINKS_REQUESTS_PER_LINK), s.number(Keyword.LINKS_PARTIAL_MESSAGE_TIMEOUT),
+                s.number(Keyword.CLIENTS_FIRST_REQUEST_TIMEOUT), s.number(Keyword.CLIENTS_IDLE_TIMEOUT),
+                s.count(Keyword.LINKS_PER_ENGINE), s.count(Keyword.LINKS_REQUESTS_PER_LINK), s.number(Keyword.LINKS_PARTIAL_MESSAGE_TIMEOUT),
                 new PollTiming((long) s.number(Keyword.CHANGE_LOG_LONG_POLL_WAIT), s.number(Keyword.CHANGE_LOG_ANSWER_SLACK),
                         s.number(Keyword.CHANGE_LOG_RETRY_DELAY), s.number(Keyword.CHANGE_LOG_MAX_RETRY_DELAY),
                         s.number(Keyword.CHANGE_LOG_MAX_UNREACHED_RETRY_DELAY),
--- a/frontend/src/main/java/quincespar/program/ProcessLocks.java
+++ b/frontend/src/main/java/quincespar/program/ProcessLocks.java
@@ -110,19 +110,7 @@
 
     /** Whether the process of that number is alive, or may be. */
     boolean mayBeAlive(int number) {
-        if (number == ownNumber) {
-            return true;
-        }
-        Path file = file(folder, address, number);
-        if (!Files.exists(file)) {
-            return false;
-        }
-        try (FileChannel c = FileChannel.open(file, StandardOpenOption.WRITE)) {
-            return tryLock(c, ALIVE_BYTE) == null;
-        } catch (IOException e) {
-            log.info("can't check the lock of another process, which counts as alive: {}", e.getMessage());
-            return true;
-        }
+        return number == ownNumber || holds(number, ALIVE_BYTE, true);
     }
 
     /** Whether another process is alive. */
@@ -137,20 +125,27 @@
 
     private boolean anyOtherHolds(long position) {
         for (int i = 0; folder != null && i < MAX_PROCESSES; i++) {
-            Path file = file(folder, address, i);
-            if (i != ownNumber && Files.exists(file)) {
-                try (FileChannel c = FileChannel.open(file, StandardOpenOption.WRITE)) {
-                    if (tryLock(c, position) == null) { // a lock acquired here is released by the close
-                        return true;
-                    }
-                } catch (IOException e) {
-                    log.info("can't check the lock of another process: {}", e.getMessage());
-                }
+            if (i != ownNumber && holds(i, position, false)) {
+                return true;
             }
         }
         return false;
     }
 
+    /** Whether the process of that number holds a lock; {@code ifUnknown} where that can't be checked. */
+    private boolean holds(int number, long position, boolean ifUnknown) {
+        Path file = file(folder, address, number);
+        if (!Files.exists(file)) {
+            return false;
+        }
+        try (FileChannel c = FileChannel.open(file, StandardOpenOption.WRITE)) {
+            return tryLock(c, position) == null; // a lock acquired here is released by the close
+        } catch (IOException e) {
+            log.info("can't check the lock of another process: {}", e.getMessage());
+            return ifUnknown;
+        }
+    }
+
     @Override
     public void close() throws IOException {
         if (channel != null) {
--- a/frontend/src/main/java/quincespar/routing/Attempts.java
+++ b/frontend/src/main/java/quincespar/routing/Attempts.java
@@ -305,7 +305,7 @@
     }
 
     private void answerIfComplete(Attempt attempt) {
-        boolean tooLong = attempt.resultBytes() > MAX_RESULT_BYTES; // known before all pages are there, which would be held till then
+        boolean tooLong = attempt.resultBytes() > MAX_RESULT_BYTES; // often known before all pages are there
         if (!tooLong && !attempt.hasAllPages()) {
             return;
         }
--- a/frontend/src/main/java/quincespar/routing/ProcessOverlap.java
+++ b/frontend/src/main/java/quincespar/routing/ProcessOverlap.java
@@ -28,13 +28,9 @@
     /** The settings for this process. */
     RoutingSettings limit(RoutingSettings settings, double now) {
         Scheduler.Rules rules = settings.decision().rules();
-        if (sharesColdAllowance(rules, now)) {
-            rules = rules.withOverloadMultiple(rules.overloadMultiple() * COLD_PART);
-        }
-        if (leavesFreeRetries(rules, now) && rules.retryBudgetBase() > 0) {
-            rules = rules.withRetryBudgetBase(0);
-        }
-        return settings.withRules(rules);
+        double overloadMultiple = rules.overloadMultiple() * (sharesColdAllowance(rules, now) ? COLD_PART : 1);
+        boolean withoutFreeRetries = rules.retryBudgetBase() > 0 && leavesFreeRetries(rules, now);
+        return settings.withRules(rules.withBudgets(overloadMultiple, withoutFreeRetries ? 0 : rules.retryBudgetBase()));
     }
 
     /** In how many milliseconds {@link #limit} changes without an input; infinite where it does not. */
--- a/frontend/src/main/java/quincespar/routing/Requests.java
+++ b/frontend/src/main/java/quincespar/routing/Requests.java
@@ -156,17 +156,8 @@
             reply(input.caller(), query.classNumber(), new Reply.Failed());
             return;
         }
-        if (refusing || unanswered.size() >= bounds.maxRequests()) { // not registered yet, so it has not run
-            reply(input.caller(), query.classNumber(), new Reply.Refused(0));
-            return;
-        }
-        if (!memory.fits(input.caller().connection(), query)) { // it has not run either
-            refusedForMemory++;
-            reply(input.caller(), query.classNumber(), new Reply.Refused(0));
-            return;
-        }
-        double retryAfterMs = recovery.refusalRetryAfterMs(query);
-        if (!Double.isNaN(retryAfterMs)) { // nor has this one
+        double retryAfterMs = refusalRetryAfterMs(input);
+        if (!Double.isNaN(retryAfterMs)) { // not registered yet, so it has not run
             reply(input.caller(), query.classNumber(), new Reply.Refused(retryAfterMs));
             return;
         }
@@ -178,6 +169,18 @@
         tellModuleWhenDue(request);
     }
 
+    /** After how long the client of a request that must be refused may try again; NaN where it may be opened. */
+    private double refusalRetryAfterMs(Input.RequestReceived input) {
+        if (refusing || unanswered.size() >= bounds.maxRequests()) {
+            return 0;
+        }
+        if (!memory.fits(input.caller().connection(), input.query())) {
+            refusedForMemory++;
+            return 0;
+        }
+        return recovery.refusalRetryAfterMs(input.query());
+    }
+
     private OpenRequest open(Input.RequestReceived input) {
         Query query = input.query();
         double margin = Math.min(DELIVERY_MARGIN_MS, query.timeoutMs() / 10);
--- a/frontend/src/main/java/quincespar/routing/RoutingSettings.java
+++ b/frontend/src/main/java/quincespar/routing/RoutingSettings.java
@@ -79,15 +79,16 @@
 
     /** These settings for the front end at place {@code index} among {@code count}. */
     RoutingSettings sharedAmong(int count, int index) {
-        Scheduler.Settings shared = decision.withRouter(count, index);
-        return shared == decision ? this
-                : new RoutingSettings(shared, zones, kinds, linkIdleMs, maxStreamsPerLink, classNumbers, tenantNumbers);
+        return withDecision(decision.withRouter(count, index));
     }
 
     /** These settings with other rules. */
     RoutingSettings withRules(Scheduler.Rules rules) {
-        return rules.equals(decision.rules()) ? this : new RoutingSettings(decision.withRules(rules), zones, kinds, linkIdleMs,
-                maxStreamsPerLink, classNumbers, tenantNumbers);
+        return withDecision(decision.withRules(rules));
+    }
+
+    private RoutingSettings withDecision(Scheduler.Settings other) {
+        return new RoutingSettings(other, zones, kinds, linkIdleMs, maxStreamsPerLink, classNumbers, tenantNumbers);
     }
 
     private static <T> List<T> merge(List<T> previous, List<T> next, Function<T, String> name) {
