Count the bytes of clients that are discarded, and log each rejected message

Change: the counter callers.discarded.bytes, and a line at debug with the reason of each rejected message; requests.unusable was not documented.

--- a/frontend/src/main/java/quincespar/program/clients/ThriftServer.java
+++ b/frontend/src/main/java/quincespar/program/clients/ThriftServer.java
@@ -259,6 +259,7 @@
         @Override
         public void received(byte[] bytes, int count) {
             if (ending) {
+                counters.add(Counters.Count.CALLERS_DISCARDED_BYTES, count);
                 discardedBytes += count;
                 if (discardedBytes > MAX_DISCARDED_BYTES) {
                     connection.close("goes on after its end");
@@ -321,6 +322,8 @@
          */
         private void reject(int seqid, int type, String reason) {
             counters.count(Counters.Count.REQUESTS_UNUSABLE);
+            log.atDebug().addKeyValue("connection", number).addKeyValue("seqid", seqid).addKeyValue("open", openRequests.size())
+                    .log("rejected a message: {}", reason);
             connection.send(FrontCodec.exception(seqid > lastSeqid ? seqid : 0, type, reason));
             ending = true; // from here on, a reply on another thread may finish the connection
             if (allAnswersQueued()) {
--- a/frontend/src/main/java/quincespar/program/runtime/Counters.java
+++ b/frontend/src/main/java/quincespar/program/runtime/Counters.java
@@ -19,7 +19,7 @@
 public final class Counters {
     /** The fixed counters. Their keys are the names in lower case, with a dot for each underscore. */
     public enum Count {
-        CALLERS_TAKEN, CALLERS_CLOSED, REQUESTS_TAKEN, REQUESTS_CANCELLED, REQUESTS_DROPPED, REQUESTS_UNUSABLE, ANSWERS_SERVED,
+        CALLERS_TAKEN, CALLERS_CLOSED, CALLERS_DISCARDED_BYTES, REQUESTS_TAKEN, REQUESTS_CANCELLED, REQUESTS_DROPPED, REQUESTS_UNUSABLE, ANSWERS_SERVED,
         ANSWERS_REFUSED, ANSWERS_FAILED, ATTEMPTS_SENT, ATTEMPTS_CANCELLED, ENGINES_DONE, ENGINES_PAGE, ENGINES_FULL,
         ENGINES_BROKE, ENGINES_PAST, ENGINES_NOTE, ENGINES_UNREADABLE, PROBES_SENT, PROBES_ANSWERED, PAGES_ASKED,
         LINKS_OPENED, LINKS_CLOSED, CHANGES_QUIET, CHANGES_NEWS, CHANGES_FAILED, CONFIGURATIONS_TAKEN,
@@ -37,7 +37,12 @@
 
     /** Increments a counter. */
     public void count(Count counter) {
-        counts.incrementAndGet(counter.ordinal());
+        add(counter, 1);
+    }
+
+    /** Increases a counter. */
+    public void add(Count counter, long amount) {
+        counts.addAndGet(counter.ordinal(), amount);
     }
 
     /** Counts the close of a client's connection as {@code closed.CAUSE}; CAUSE is the cause up to its colon, without numbers. */
