Let an invalid message concern no other request on its client's connection

Cause: Session.reject took each message that can't be used for the end of what can be read. It set `ending`, and received() threw all further bytes away undecoded, cancels included: unknown classes and tenants, fields out of range, a number used before, an unknown method, a frame of another protocol or over 64 KB. Of these, none but a negative length leaves open where the next message begins. A client that went on for 64 KB was closed outright, with its open requests: the same fault, pinned by a test. Change: an invalid message gets its exception, under its own number where that is new, and all else on the connection goes on. A frame over the limit is answered as soon as its number is read, and skipped. Only a negative length, or one of over 16 MB, ends the connection, once its open requests are answered; until then it is read, slowly, to see whether its client leaves. The reason in an exception, which may quote the client, is cut at 200 characters, as such exceptions may now wait in numbers. Why this works: whether other requests can be read depends on the frame's boundary alone, and that is what decides now. Tests, red before (ConnectionEndTest 5, FrontEndTest 1: "no command serve received", "Read timed out", "Broken pipe"): anInvalidMessageSilencesNoOtherRequestOnItsConnection (19 kinds of message), aConnectionGoesOn..., aRequestOfADroppedClass..., aClientThatSendsOnAfterALostMessageBoundaryKeepsItsOpenRequests, aRequestWithoutAUsableOrderingKey..., anInvalidRequestGets.... Three tests pinned the fault and are replaced by as strict ones: that an invalid request closes its connection (now: that the next request on it is served, and that a client which only repeats invalid ones is disconnected as idle), that more data after it closes the connection despite open requests (now: that these are answered, or cancelled once the client leaves), that an unusable key ends it (now: the next is served). CodecsTest's overlong frame is in FrameDecoderTest, as it is skipped; CodecsTest has a negative length.

--- a/frontend/src/main/java/quincespar/program/clients/ThriftServer.java
+++ b/frontend/src/main/java/quincespar/program/clients/ThriftServer.java
@@ -52,8 +52,14 @@
     /** A request's time limit may exceed its class's deadline by this factor: clients wait some milliseconds longer. */
     private static final double MAX_LIMIT_FACTOR = 2;
     private static final int MAX_OPEN_REQUESTS = 32;
-    /** Limit on the bytes that are discarded on a connection that is ending; beyond it the connection is closed at once. */
-    private static final int MAX_DISCARDED_BYTES = 64 * 1024;
+    /** Sequence number of an exception for a message whose own can't be read or can't be used; clients count from 1. */
+    private static final int UNKNOWN_SEQID = 0;
+    /** Messages up to this length are read to their end, though they are too long to be used, as others may follow. */
+    private static final int MAX_SKIPPED_FRAME_BYTES = 16 << 20;
+    /** Limit on the reason in an exception, which may quote what the client sent. */
+    private static final int MAX_REASON_CHARACTERS = 200;
+    /** Pause between two reads of a connection whose input is discarded. It bounds what a client that sends on can cost. */
+    private static final long DISCARD_PAUSE_MS = 5;
     /** Outbox limit of a connection: room for an answer of maximum length to each open request. */
     private static final int OUTBOX_BYTES = MAX_OPEN_REQUESTS * 50_000;
     /** Limit on all outboxes together. */
@@ -202,7 +208,7 @@
     }
 
     /** One client's connection. Its fields belong to the loop's thread, except those that are safe for several threads. */
-    private final class Session implements Connection.Handler {
+    private final class Session implements Connection.Handler, FrameDecoder.Receiver {
         private final long number;
         private final Connection connection;
         private final FrameDecoder frames = new FrameDecoder(frameMemory);
@@ -213,11 +219,12 @@
         /** Inputs of the current read pass: posted at its end, or dropped if the client has disconnected by then. */
         private final List<Input> pending = new ArrayList<>();
         private int lastSeqid;
+        /** When the bytes that are being decoded arrived. */
+        private double receivedAt;
         /** When the first bytes of the partly received request arrived. */
         private double requestStartedAt;
         /** Whether further input is discarded, and the connection ends once its open requests are answered. */
         private volatile boolean ending;
-        private int discardedBytes;
 
         Session(long number, Connection connection) {
             this.number = number;
@@ -260,21 +267,15 @@
         public void received(byte[] bytes, int count) {
             if (ending) {
                 counters.add(Counters.Count.CALLERS_DISCARDED_BYTES, count);
-                discardedBytes += count;
-                if (discardedBytes > MAX_DISCARDED_BYTES) {
-                    connection.close("goes on after its end");
-                }
                 return;
             }
-            double receivedAt = clock.now();
+            receivedAt = clock.now();
             boolean startsMessage = !frames.hasPartialMessage();
             try {
-                frames.feed(bytes, count, frame -> {
-                    requestStartedAt = receivedAt;
-                    handleMessage(FrontCodec.read(frame), receivedAt);
-                }, this::handleDropped);
+                frames.feed(bytes, count, this);
             } catch (MalformedException e) {
-                reject(0, FrontCodec.INVALID_MESSAGE_TYPE, e.getMessage());
+                reject(UNKNOWN_SEQID, FrontCodec.INVALID_MESSAGE_TYPE, e.getMessage());
+                endOnceAnswered();
             }
             if (ending) {
                 frames.reset();
@@ -288,12 +289,15 @@
                 post.accept(List.copyOf(pending));
                 pending.clear();
             }
+            if (ending) {
+                connection.pauseReading(DISCARD_PAUSE_MS);
+            }
         }
 
         @Override
         public boolean busy() {
             return !allAnswersQueued()
-                    || frames.hasPartialMessage() && !ending && clock.now() - requestStartedAt < requestReadTimeoutMs;
+                    || frames.hasPartialMessage() && clock.now() - requestStartedAt < requestReadTimeoutMs;
         }
 
         @Override
@@ -305,7 +309,7 @@
         public void closed(String cause) {
             counters.countClose(cause);
             counters.countSystemCallFailure("clients", cause);
-            if (!openRequests.isEmpty() && !ending && !connection.closedByPeer()) { // the answers to these requests are lost
+            if (!openRequests.isEmpty() && !connection.closedByPeer()) { // the answers to these requests are lost
                 log.atWarn().addKeyValue("connection", number).addKeyValue("open", openRequests.size())
                         .log("a client's connection was closed with requests open: {}", cause);
             }
@@ -316,28 +320,47 @@
         }
 
         /**
-         * Answers an invalid message with an exception, and ends the connection once its open requests are answered: a
-         * client may send the same message again at once, at full speed and without end. The exception does not name a
-         * sequence number that may be open or answered, because it could be taken for that request's second answer.
+         * Answers an invalid message with an exception. It concerns no other request on the connection, which goes on. The
+         * exception does not name a sequence number that may be open or answered, because it could be taken for that
+         * request's second answer.
          */
         private void reject(int seqid, int type, String reason) {
             counters.count(Counters.Count.REQUESTS_UNUSABLE);
             log.atDebug().addKeyValue("connection", number).addKeyValue("seqid", seqid).addKeyValue("open", openRequests.size())
                     .log("rejected a message: {}", reason);
-            connection.send(FrontCodec.exception(seqid > lastSeqid ? seqid : 0, type, reason));
+            int answeredSeqid = seqid > lastSeqid ? seqid : UNKNOWN_SEQID;
+            String shortReason = reason.substring(0, Math.min(reason.length(), MAX_REASON_CHARACTERS));
+            send(answeredSeqid, FrontCodec.exception(answeredSeqid, type, shortReason));
+        }
+
+        /**
+         * Ends the connection once its open requests are answered, because no further message can be found in its input. It is
+         * read on, as only that shows whether the client disconnects.
+         */
+        private void endOnceAnswered() {
             ending = true; // from here on, a reply on another thread may finish the connection
             if (allAnswersQueued()) {
                 connection.finish();
             }
         }
 
-        private void handleMessage(Message message, double receivedAt) {
+        @Override
+        public void frame(byte[] content) {
+            requestStartedAt = receivedAt;
             if (ending) {
                 return;
             }
+            try {
+                handleMessage(FrontCodec.read(content));
+            } catch (MalformedException e) {
+                reject(UNKNOWN_SEQID, FrontCodec.INVALID_MESSAGE_TYPE, e.getMessage());
+            }
+        }
+
+        private void handleMessage(Message message) {
             Caller caller = new Caller(number, message.seqid());
             if (message instanceof Message.Call c) {
-                handleCall(caller, c, receivedAt);
+                handleCall(caller, c);
             } else if (message instanceof Message.Cancel c) {
                 openRequests.remove(c.cancelled());
                 pending.add(new Input.RequestCancelled(new Caller(number, c.cancelled())));
@@ -349,13 +372,15 @@
         }
 
         /** A call that was dropped for lack of memory is refused, as it has not run; other messages are never as long. */
-        private void handleDropped(byte[] head) {
+        @Override
+        public void dropped(byte[] head) {
+            requestStartedAt = receivedAt;
             if (ending) {
                 return;
             }
             OptionalInt seqid = FrontCodec.callSeqid(head);
             if (seqid.isEmpty() || seqid.getAsInt() <= lastSeqid) {
-                reject(0, FrontCodec.INVALID_MESSAGE_TYPE, "a long message that is no new call");
+                reject(UNKNOWN_SEQID, FrontCodec.INVALID_MESSAGE_TYPE, "a long message that is no new call");
                 return;
             }
             lastSeqid = seqid.getAsInt();
@@ -363,7 +388,25 @@
             send(lastSeqid, FrontCodec.busy(lastSeqid, Map.of()));
         }
 
-        private void handleCall(Caller caller, Message.Call call, double receivedAt) {
+        /**
+         * What follows behind a message of some megabytes is read as usual. Of a longer one, which its client can't have written
+         * yet, the rest is not waited for.
+         */
+        @Override
+        public void tooLong(byte[] head, int length) {
+            if (ending) {
+                return;
+            }
+            OptionalInt seqid = FrontCodec.callSeqid(head);
+            reject(seqid.orElse(UNKNOWN_SEQID), FrontCodec.INTERNAL_ERROR,
+                    "a message of " + length + " bytes, the limit is " + FrameDecoder.MAX_FRAME_BYTES);
+            lastSeqid = Math.max(lastSeqid, seqid.orElse(UNKNOWN_SEQID));
+            if (length > MAX_SKIPPED_FRAME_BYTES) {
+                endOnceAnswered();
+            }
+        }
+
+        private void handleCall(Caller caller, Message.Call call) {
             if (call.seqid() <= lastSeqid) { // clients count up
                 reject(call.seqid(), FrontCodec.INVALID_MESSAGE_TYPE, "number " + call.seqid() + " was used before");
                 return;
@@ -373,6 +416,7 @@
                 query = parseQuery(call);
             } catch (MalformedException e) {
                 reject(call.seqid(), FrontCodec.INTERNAL_ERROR, e.getMessage());
+                lastSeqid = call.seqid();
                 return;
             }
             lastSeqid = call.seqid();
--- a/frontend/src/main/java/quincespar/protocol/thrift/FrameDecoder.java
+++ b/frontend/src/main/java/quincespar/protocol/thrift/FrameDecoder.java
@@ -1,15 +1,28 @@
 package quincespar.protocol.thrift;
 
-import java.util.function.Consumer;
 import quincespar.protocol.MalformedException;
 
 /**
  * Splits received bytes into frames with a length prefix. A long frame that is partly received needs memory, which all
- * connections share. Where there is none, all but the beginning of the frame is dropped, so that it can be answered.
+ * connections share. Where there is none, and of a frame over the limit, all but the beginning is dropped: that is enough
+ * to answer it, and the frames behind it are read as usual.
  */
 public final class FrameDecoder {
+    /** Receives what is found in the bytes, in their order. */
+    public interface Receiver {
+        /** A complete frame's content. */
+        void frame(byte[] content);
+
+        /** A frame has ended for which there was no memory; only its beginning is there. */
+        void dropped(byte[] head);
+
+        /** A frame of {@code length} bytes, which is over the limit, has begun; the rest of it is dropped. */
+        void tooLong(byte[] head, int length);
+    }
+
+    /** Limit on a frame's content. */
+    public static final int MAX_FRAME_BYTES = 64 * 1024;
     private static final int PREFIX_BYTES = 4;
-    private static final int MAX_FRAME_BYTES = 64 * 1024;
     /** Frames up to this length need no reserved memory. */
     private static final int SHORT_FRAME_BYTES = 4 * 1024;
     /** What is kept of a frame that is dropped: enough for its message's type, method and sequence number. */
@@ -18,9 +31,9 @@
     private final FrameMemory memory;
     private final byte[] prefix = new byte[PREFIX_BYTES];
     /** Bytes of the current frame that have been received, with its prefix. */
-    private int received;
+    private long received;
     private int frameLength;
-    /** The current frame's content, or its beginning where the rest is dropped. */
+    /** The current frame's content, or its beginning where the rest is dropped; null while the prefix is incomplete. */
     private byte[] frame;
     private int reserved;
 
@@ -35,17 +48,17 @@
     }
 
     /**
-     * Feeds {@code count} bytes and passes on the content of each complete frame, or to {@code dropped} the beginning of one for
-     * which there was no memory. Throws {@link MalformedException} if a length is out of range.
+     * Feeds {@code count} bytes. Throws {@link MalformedException} if a length is negative: no further frame can be found then.
      */
-    public void feed(byte[] bytes, int count, Consumer<byte[]> complete, Consumer<byte[]> dropped) {
+    public void feed(byte[] bytes, int count, Receiver receiver) {
         int offset = 0;
         while (offset < count) {
-            offset += received < PREFIX_BYTES ? addToPrefix(bytes, offset, count) : addToFrame(bytes, offset, count);
+            offset += frame == null ? addToPrefix(bytes, offset, count) : addToFrame(bytes, offset, count, receiver);
             if (received == PREFIX_BYTES) {
                 beginFrame(count - offset);
-            } else if (received == PREFIX_BYTES + frameLength && received > PREFIX_BYTES) {
-                endFrame(complete, dropped);
+            }
+            if (frame != null && received == PREFIX_BYTES + (long) frameLength) {
+                endFrame(receiver);
             }
         }
     }
@@ -59,38 +72,51 @@
     }
 
     private int addToPrefix(byte[] bytes, int offset, int count) {
-        int taken = Math.min(PREFIX_BYTES - received, count - offset);
-        System.arraycopy(bytes, offset, prefix, received, taken);
+        int at = (int) received;
+        int taken = Math.min(PREFIX_BYTES - at, count - offset);
+        System.arraycopy(bytes, offset, prefix, at, taken);
         received += taken;
         return taken;
     }
 
-    private int addToFrame(byte[] bytes, int offset, int count) {
-        int at = received - PREFIX_BYTES;
+    private int addToFrame(byte[] bytes, int offset, int count, Receiver receiver) {
+        int at = (int) (received - PREFIX_BYTES);
         int taken = Math.min(frameLength - at, count - offset);
         if (at < frame.length) {
             System.arraycopy(bytes, offset, frame, at, Math.min(taken, frame.length - at));
         }
         received += taken;
+        if (tooLong() && at < HEAD_BYTES && at + taken >= HEAD_BYTES) {
+            receiver.tooLong(frame, frameLength);
+        }
         return taken;
     }
 
+    private boolean tooLong() {
+        return frameLength > MAX_FRAME_BYTES;
+    }
+
     private void beginFrame(int available) {
         frameLength = (prefix[0] & 255) << 24 | (prefix[1] & 255) << 16 | (prefix[2] & 255) << 8 | prefix[3] & 255;
-        if (frameLength <= 0 || frameLength > MAX_FRAME_BYTES) {
+        if (frameLength < 0) {
             throw new MalformedException("a frame of " + frameLength + " bytes");
         }
-        boolean needsMemory = frameLength > SHORT_FRAME_BYTES && available < frameLength;
+        boolean needsMemory = !tooLong() && frameLength > SHORT_FRAME_BYTES && available < frameLength;
         if (needsMemory && memory.reserve(frameLength)) {
             reserved = frameLength;
         }
-        frame = new byte[needsMemory && reserved == 0 ? HEAD_BYTES : frameLength];
+        frame = new byte[tooLong() || needsMemory && reserved == 0 ? HEAD_BYTES : frameLength];
     }
 
-    private void endFrame(Consumer<byte[]> complete, Consumer<byte[]> dropped) {
+    private void endFrame(Receiver receiver) {
         byte[] ended = frame;
         boolean whole = ended.length == frameLength;
+        boolean reported = tooLong();
         reset();
-        (whole ? complete : dropped).accept(ended);
+        if (whole) {
+            receiver.frame(ended);
+        } else if (!reported) {
+            receiver.dropped(ended);
+        }
     }
 }
--- a/frontend/src/main/java/quincespar/transport/Connection.java
+++ b/frontend/src/main/java/quincespar/transport/Connection.java
@@ -292,6 +292,12 @@
         }
     }
 
+    /** Reads nothing for a while, so that a peer whose input is of no use costs little. Call on the loop's thread only. */
+    public void pauseReading(long pauseMs) {
+        setInterest(SelectionKey.OP_READ, false);
+        loop.after(pauseMs, () -> setInterest(SelectionKey.OP_READ, true));
+    }
+
     /** Ends the output after the last byte and closes after a delay: an immediate close could discard unread bytes. */
     private void shutDownOutput() {
         try {
--- a/frontend/src/test/java/quincespar/program/ScriptedPeers.java
+++ b/frontend/src/test/java/quincespar/program/ScriptedPeers.java
@@ -12,6 +12,7 @@
 import java.net.Socket;
 import java.net.SocketException;
 import java.net.SocketTimeoutException;
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -324,6 +325,20 @@
         return out.toString();
     }
 
+    /** The sequence number of an application exception; -1 if the frame is another message. */
+    static int exceptionSeqid(byte[] frame) {
+        ByteBuffer message = ByteBuffer.wrap(frame);
+        int nameLength = message.getInt(Integer.BYTES);
+        return frame[3] == 3 ? message.getInt(2 * Integer.BYTES + nameLength) : -1;
+    }
+
+    /** A one-way call of cancel in the strict binary protocol. */
+    static byte[] cancel(int seqid) {
+        byte[] frame = {0, 0, 0, 26, (byte) 0x80, 1, 0, 4, 0, 0, 0, 6, 'c', 'a', 'n', 'c', 'e', 'l', 0, 0, 0, 99,
+            8, 0, 1, 0, 0, 0, (byte) seqid, 0};
+        return frame;
+    }
+
     /** Kind of an answer to a client. */
     enum Kind { SERVED, REFUSED, FAILED, EXCEPTION }
 
