Keep a client's connection until its health calls are answered

A health call that has been read gets no answer if the connection is closed as idle, for a shutdown or an upgrade, or after its input is lost, before the reducer's next step. Cause: a session counted only calls of `call` as open. Its answer to a health call also took a request with the same number for answered. Evidence: ThriftServerTest, a close between the call and its answer: end of stream in place of the answer. Change: open health calls are counted beside the open requests, and an answer to one leaves the requests alone. Result: aConnectionIsNotClosedBeforeItsHealthCallIsAnswered red before (closeCaller; the other two ends were not reached), green now; ThriftServerTest, ConnectionEndTest, FrontEndTest green.

--- a/frontend/src/main/java/quincespar/program/clients/ThriftServer.java
+++ b/frontend/src/main/java/quincespar/program/clients/ThriftServer.java
@@ -203,7 +203,7 @@
     public void health(Caller caller, boolean ready) {
         Session session = sessions.get(caller.connection());
         if (session != null) {
-            session.send(caller.call(), FrontCodec.answer("health", caller.call(), new byte[0], healthFields.get(), ready));
+            session.sendHealth(FrontCodec.answer("health", caller.call(), new byte[0], healthFields.get(), ready));
         }
     }
 
@@ -214,6 +214,8 @@
         private final FrameDecoder frames = new FrameDecoder(frameMemory);
         /** Sequence numbers of the requests that are not answered. */
         private final Set<Integer> openRequests = ConcurrentHashMap.newKeySet();
+        /** Number of health calls that are not answered. */
+        private final AtomicInteger openHealthCalls = new AtomicInteger();
         /** Number of answers that are being put into the outbox. */
         private final AtomicInteger answersInProgress = new AtomicInteger();
         /** Inputs of the current read pass: posted at its end, or dropped if the client has disconnected by then. */
@@ -239,23 +241,34 @@
         void send(int seqid, byte[] frame) {
             answersInProgress.incrementAndGet();
             openRequests.remove(seqid);
+            queueAnswer(frame);
+        }
+
+        /** Sends the answer to a health call, in the same order. */
+        void sendHealth(byte[] frame) {
+            answersInProgress.incrementAndGet();
+            openHealthCalls.decrementAndGet();
+            queueAnswer(frame);
+        }
+
+        private void queueAnswer(byte[] frame) {
             boolean sent = connection.send(frame);
             answersInProgress.decrementAndGet();
             if (!sent) {
                 connection.close("the client does not read");
             } else if (ending && allAnswersQueued()) {
                 connection.finish();
-            } else if (openRequests.isEmpty() && closingIdle) {
+            } else if (closingIdle && allAnswersQueued()) {
                 finishIfIdle();
             }
         }
 
         /**
-         * Whether no request is open and every answer is in the outbox. The open requests are read first, because {@link #send}
+         * Whether no call is open and every answer is in the outbox. The open calls are read first, because {@link #send}
          * counts an answer as in progress before it removes the request.
          */
         private boolean allAnswersQueued() {
-            return openRequests.isEmpty() && answersInProgress.get() == 0;
+            return openRequests.isEmpty() && openHealthCalls.get() == 0 && answersInProgress.get() == 0;
         }
 
         /** Closes the connection gracefully if no request is open, unread or partly received. */
@@ -365,6 +378,7 @@
                 openRequests.remove(c.cancelled());
                 pending.add(new Input.RequestCancelled(new Caller(number, c.cancelled())));
             } else if (message instanceof Message.Health) {
+                openHealthCalls.incrementAndGet();
                 pending.add(new Input.HealthRequested(caller));
             } else if (message instanceof Message.Invalid i) {
                 reject(i.seqid(), i.type(), i.reason());
--- a/frontend/src/test/java/quincespar/program/clients/ThriftServerTest.java
+++ b/frontend/src/test/java/quincespar/program/clients/ThriftServerTest.java
@@ -15,7 +15,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.function.Consumer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -24,6 +26,7 @@
 import quincespar.program.runtime.Counters;
 import quincespar.protocol.thrift.FrontCodec;
 import quincespar.routing.Caller;
+import quincespar.routing.Effect;
 import quincespar.routing.Input;
 import quincespar.routing.Reply;
 import quincespar.routing.RoutingSettings;
@@ -146,6 +149,45 @@
         }
     }
 
+    /** Guards against a close between a health call and its answer, whether the connection looks idle or its input is lost. */
+    @Test
+    void aConnectionIsNotClosedBeforeItsHealthCallIsAnswered() throws Exception {
+        loop.start();
+        List<Consumer<Caller>> ends = List.of(
+                caller -> server.closeCaller(new Effect.CloseCaller(caller.connection(), "nothing open")),
+                caller -> server.closeIdleConnections());
+        for (Consumer<Caller> end : ends) {
+            try (Socket client = connect()) {
+                client.getOutputStream().write(FrontCodec.healthCall(1));
+                Caller caller = nextHealthCall();
+                end.accept(caller);
+                CountDownLatch handled = new CountDownLatch(1);
+                loop.execute(handled::countDown); // behind the task that closes
+                handled.await();
+                server.health(caller, true);
+                assertThat(readSeqid(new DataInputStream(client.getInputStream()))).isEqualTo(1);
+            }
+        }
+        try (Socket client = connect()) {
+            client.getOutputStream().write(FrontCodec.healthCall(1));
+            Caller caller = nextHealthCall();
+            client.getOutputStream().write(new byte[] {-1, -1, -1, -1});
+            DataInputStream in = new DataInputStream(client.getInputStream());
+            assertThat(readSeqid(in)).isZero();
+            server.health(caller, true);
+            assertThat(readSeqid(in)).isEqualTo(1);
+            assertThat(readSeqid(in)).isEqualTo(-1); // it ends after that
+        }
+    }
+
+    private Caller nextHealthCall() throws InterruptedException {
+        while (true) {
+            if (posted.take().get(0) instanceof Input.HealthRequested request) {
+                return request.caller();
+            }
+        }
+    }
+
     private Caller nextRequest() throws InterruptedException {
         while (true) {
             if (posted.take().get(0) instanceof Input.RequestReceived request) {
