Keep the place of a call at the admin address until it is answered

At the admin address the 25th connection closed the oldest, also one whose call had been read and waited for a page of the fleet, or whose bytes were unread. Cause: the place was given by age alone, by a close that does not look at what is owed or unread. Evidence: StatusServerTest with a page that is not ready: end of stream for its caller once 24 others had connected. Change: only callers without a complete call give way, 8 of them may stay, and the close reads first (closeIfIdle). Calls that wait for a page are limited to 8, and a further one gets 503 at once, so that places are left for /status. At 24 connections new callers wait for those that have been answered. A first form, which made room when it was asked for its capacity, closed callers whose call was on its way; the second test showed that.

--- a/frontend/src/main/java/quincespar/program/status/StatusServer.java
+++ b/frontend/src/main/java/quincespar/program/status/StatusServer.java
@@ -5,6 +5,7 @@
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletionStage;
@@ -36,6 +37,10 @@
 
     /** Limit on open connections, and so on their descriptors. */
     private static final int MAX_CONNECTIONS = 24;
+    /** Limit on the callers that have sent no complete call; beyond it the oldest of them is disconnected. */
+    private static final int MAX_INCOMPLETE_CALLS = MAX_CONNECTIONS / 3;
+    /** Limit on the calls whose pages are not ready; a further one is answered with status 503. */
+    private static final int MAX_AWAITED_PAGES = MAX_CONNECTIONS / 3;
     /** Time limit of a call, from the connect to the last byte of the answer. */
     public static final double CALL_TIMEOUT_MS = 5000;
     private static final int OUTBOX_BYTES = 256 * 1024;
@@ -85,19 +90,22 @@
         loop.start();
     }
 
+    /** Beyond the two limits only callers that have been answered hold places, and each for a moment; new ones wait for it. */
     @Override
     public boolean hasCapacity() {
-        return true;
+        return calls.size() < MAX_CONNECTIONS;
     }
 
+    /** A caller that says nothing gives way to a new one; a call that has been read does not, as it is owed an answer. */
     @Override
     public void accept(SocketChannel channel) {
-        if (calls.size() >= MAX_CONNECTIONS) {
-            calls.iterator().next().connection.close("its place is needed");
-        }
         Call call = new Call(Connection.accepted(loop, channel, "status", outboxLimit));
         calls.add(call);
         call.connection.start(call);
+        List<Call> incomplete = calls.stream().filter(c -> !c.requestComplete).toList();
+        if (incomplete.size() > MAX_INCOMPLETE_CALLS) {
+            incomplete.get(0).connection.closeIfIdle("its place is needed");
+        }
     }
 
     private static String reasonPhrase(int status) {
@@ -122,8 +130,7 @@
 
     private byte[] statusPage(Request request) {
         boolean head = request.method().equals("HEAD");
-        boolean pageExists = request.path().equals("/status") || request.path().equals("/status/metrics");
-        if (!pageExists) {
+        if (!isStatusPage(request)) {
             return plainText(404, head);
         }
         if (!head && !request.method().equals("GET")) {
@@ -136,6 +143,14 @@
         return response(isReady ? 200 : 503, "text/plain; charset=utf-8", isReady ? "ready\n" : "not ready\n", head);
     }
 
+    private static boolean isStatusPage(Request request) {
+        return request.path().equals("/status") || request.path().equals("/status/metrics");
+    }
+
+    private static byte[] unavailable(String reason) {
+        return response(503, "text/plain; charset=utf-8", reason + "\n", false);
+    }
+
     private static byte[] plainText(int status, boolean head) {
         return response(status, "text/plain; charset=utf-8", reasonPhrase(status) + "\n", head);
     }
@@ -145,7 +160,10 @@
         private final Connection connection;
         private final RequestDecoder decoder = new RequestDecoder();
         private final Future<?> timeout;
-        private boolean answered;
+        /** Whether the call has been read, or rejected; what comes behind it is ignored. */
+        private boolean requestComplete;
+        /** Whether the page is not ready. */
+        private volatile boolean awaitingPage;
 
         Call(Connection connection) {
             this.connection = connection;
@@ -154,30 +172,42 @@
 
         @Override
         public void received(byte[] bytes, int count) {
-            if (answered) {
-                return; // a body or a further call, which is ignored
+            if (requestComplete) {
+                return;
             }
             try {
                 Optional<Request> request = decoder.feed(bytes, count);
                 request.ifPresent(this::answer);
             } catch (RequestDecoder.RejectedException e) {
+                requestComplete = true;
                 send(plainText(e.status(), false));
             }
         }
 
+        @Override
+        public boolean busy() {
+            return requestComplete;
+        }
+
         private void answer(Request request) {
-            answered = true;
+            requestComplete = true;
+            if (!isStatusPage(request) && calls.stream().filter(call -> call.awaitingPage).count() >= MAX_AWAITED_PAGES) {
+                send(unavailable("too many calls are open"));
+                return;
+            }
             CompletionStage<FleetPages.Page> page = pages.page(request.method(), request.path());
             if (page == null) {
                 send(statusPage(request));
-            } else {
-                page.whenComplete((p, e) -> send(e == null ? response(p.status(), p.type(), p.body(), false)
-                        : response(503, "text/plain; charset=utf-8", "the fleet gave no answer: " + e + "\n", false)));
+                return;
             }
+            awaitingPage = true;
+            page.whenComplete((p, e) -> {
+                awaitingPage = false;
+                send(e == null ? response(p.status(), p.type(), p.body(), false) : unavailable("the fleet gave no answer: " + e));
+            });
         }
 
         private void send(byte[] response) {
-            answered = true;
             connection.send(response);
             connection.finish();
         }
@@ -186,6 +216,7 @@
         public void closed(String cause) {
             timeout.cancel(false);
             calls.remove(this);
+            listener.resume();
         }
     }
 }
--- a/frontend/src/test/java/quincespar/program/StatusServerTest.java
+++ b/frontend/src/test/java/quincespar/program/StatusServerTest.java
@@ -12,10 +12,13 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import quincespar.program.fleet.FleetPages;
 import quincespar.program.runtime.Timers;
 import quincespar.program.status.StatusServer;
 
@@ -24,6 +27,7 @@
 class StatusServerTest {
     private final AtomicBoolean ready = new AtomicBoolean();
     private int port;
+    private StatusServer server;
 
     @BeforeEach
     void start() throws IOException {
@@ -32,8 +36,9 @@
 
     private void start(double timeoutMs) throws IOException {
         port = ScriptedPeers.freePort();
-        new StatusServer(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), new Timers(i -> { }), timeoutMs,
-                ready::get, () -> "gw_current 3\n").start();
+        server = new StatusServer(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), new Timers(i -> { }), timeoutMs,
+                ready::get, () -> "gw_current 3\n");
+        server.start();
     }
 
     private Socket connect() throws IOException {
@@ -103,6 +108,57 @@
         }
     }
 
+    /** Guards against a call that gets no answer because callers that send none take its place. */
+    @Test
+    void aCallThatIsBeingAnsweredKeepsItsPlace() throws Exception {
+        CompletableFuture<FleetPages.Page> page = new CompletableFuture<>();
+        CountDownLatch asked = new CountDownLatch(1);
+        server.addPages((method, path) -> {
+            if (!path.equals("/slow")) {
+                return null;
+            }
+            asked.countDown();
+            return page;
+        });
+        List<Socket> incomplete = new ArrayList<>();
+        try (Socket caller = connect()) {
+            caller.getOutputStream().write(get("/slow").getBytes(StandardCharsets.ISO_8859_1));
+            asked.await();
+            for (int i = 0; i < 100; i++) {
+                incomplete.add(connect());
+            }
+            assertThat(call(get("/status/metrics"))).startsWith("HTTP/1.1 200 ");
+            page.complete(new FleetPages.Page(200, "text/plain", "done\n"));
+            assertThat(new String(caller.getInputStream().readAllBytes(), StandardCharsets.UTF_8)).endsWith("done\n");
+        }
+        for (Socket s : incomplete) {
+            s.close();
+        }
+    }
+
+    /** Guards against slow pages that keep the status from being answered. */
+    @Test
+    void theStatusIsAnsweredWhileManyCallsWaitForSlowPages() throws Exception {
+        CompletableFuture<FleetPages.Page> page = new CompletableFuture<>();
+        server.addPages((method, path) -> path.equals("/slow") ? page : null);
+        List<Socket> slow = new ArrayList<>();
+        for (int i = 0; i < 60; i++) {
+            Socket s = connect();
+            s.getOutputStream().write(get("/slow").getBytes(StandardCharsets.ISO_8859_1));
+            slow.add(s);
+            assertThat(call(get("/status/metrics"))).startsWith("HTTP/1.1 200 ");
+        }
+        page.complete(new FleetPages.Page(200, "text/plain", "done\n"));
+        int done = 0;
+        for (Socket s : slow) {
+            String answer = new String(s.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+            assertThat(answer).matches("(?s)HTTP/1.1 (200|503) .*");
+            done += answer.startsWith("HTTP/1.1 200 ") ? 1 : 0;
+            s.close();
+        }
+        assertThat(done).isEqualTo(8);
+    }
+
     private static boolean ended(Socket s) {
         try {
             return s.getInputStream().read() < 0;
