Let an attempt that does not fit into its link's outbox end alone

Where an engine reads slowly and long statements wait for it (4 MB on one link), the next attempt closed the link, and all that was open on it ended as reset: loads that run there, and may not be repeated, failed. Cause: EngineLinks.send closed the link for any frame that its outbox did not take. An attempt that has not been queued concerns nothing but itself: no byte of it is written. Evidence: EngineLinksTest with an engine that reads nothing: LinkDown "the engine does not read" for the first attempt too many. Change: such an attempt is rejected (Input.SendRejected), ends as never sent, and its link takes no new attempts. A cancel or a page that can't be queued still closes the link, as its engine would go on with what was given up. Result: EngineLinksTest red before, green with ReducerTest and ConnectionEndTest; its link then carries all that was queued.

--- a/frontend/src/main/java/quincespar/program/engines/EngineLinks.java
+++ b/frontend/src/main/java/quincespar/program/engines/EngineLinks.java
@@ -22,7 +22,6 @@
 import quincespar.transport.Connection;
 import quincespar.transport.EventLoop;
 import quincespar.transport.OutboxLimit;
-import quincespar.transport.WithdrawableWrite;
 
 /** The connections to engines. It encodes effects as RESP commands, and posts the engines' replies as inputs. */
 public final class EngineLinks {
@@ -73,31 +72,33 @@
         }
     }
 
-    /** Sends an attempt. */
+    /** Sends an attempt; one that does not fit into the outbox is rejected, and what else is open on the link goes on. */
     public void send(Effect.Send e) {
-        send(e.link(), EngineCodec.serve(e.txn(), e.queue(), e.idempotencyKey(), e.priority(), e.budgetMs(),
-                e.statement()), e.write(),
-                () -> post.accept(new Input.SendWritten(e.key())));
+        Connection c = connections.get(e.link());
+        byte[] command = EngineCodec.serve(e.txn(), e.queue(), e.idempotencyKey(), e.priority(), e.budgetMs(), e.statement());
+        if (c != null && !c.send(command, e.write(), () -> post.accept(new Input.SendWritten(e.key())))) {
+            post.accept(new Input.SendRejected(e.key())); // the outbox is full, or the link is closed and LinkDown follows
+        }
     }
 
     /** Cancels an attempt. */
     public void cancel(Effect.Cancel e) {
-        send(e.link(), EngineCodec.cancel(e.txn()), null, () -> post.accept(new Input.CancelWritten(e.key())));
+        send(e.link(), EngineCodec.cancel(e.txn()), () -> post.accept(new Input.CancelWritten(e.key())));
     }
 
     /** Requests a further page of a result. */
     public void readPage(Effect.ReadPage e) {
-        send(e.link(), EngineCodec.read(e.txn(), e.page()), null, null);
+        send(e.link(), EngineCodec.read(e.txn(), e.page()), null);
     }
 
     /** Tells an engine that no more pages of a result are needed. */
     public void release(Effect.Release e) {
-        send(e.link(), EngineCodec.release(e.txn()), null, null);
+        send(e.link(), EngineCodec.release(e.txn()), null);
     }
 
     /** Sends a health check. */
     public void probe(Effect.Probe e) {
-        send(e.link(), EngineCodec.gauges(e.tag()), null, null);
+        send(e.link(), EngineCodec.gauges(e.tag()), null);
     }
 
     /** The number of links, including those that are connecting. */
@@ -105,9 +106,9 @@
         return connections.size();
     }
 
-    private void send(long link, byte[] bytes, WithdrawableWrite write, Runnable written) {
+    private void send(long link, byte[] bytes, Runnable written) {
         Connection c = connections.get(link);
-        if (c != null && !c.send(bytes, write, written)) {
+        if (c != null && !c.send(bytes, null, written)) {
             c.close("the engine does not read"); // no effect if the link is closed already; LinkDown follows then
         }
     }
--- a/frontend/src/main/java/quincespar/routing/Attempts.java
+++ b/frontend/src/main/java/quincespar/routing/Attempts.java
@@ -131,6 +131,14 @@
                 query.statement(), attempt.write));
     }
 
+    /** An attempt does not fit into the outbox of its link: it ends alone, and the link takes no new ones. */
+    void rejected(Attempt attempt) {
+        if (attempt != null && attempt.outcome == null) {
+            attempt.link.suspect = true;
+            withdraw(attempt, Outcome.CONNECT_FAILED);
+        }
+    }
+
     /** The time in which an attempt may start is over. */
     void startDeadlinePassed(Attempt attempt) {
         if (attempt != null) {
--- a/frontend/src/main/java/quincespar/routing/Link.java
+++ b/frontend/src/main/java/quincespar/routing/Link.java
@@ -17,7 +17,7 @@
     /** Requests of which an attempt was answered here: a repeated answer would be taken for one to the next attempt. */
     final Set<String> answered = new HashSet<>();
     boolean up;
-    /** An attempt was cancelled here, and the link had been silent since that attempt was made: it may be broken. */
+    /** It may be broken: silent while an attempt that was then cancelled was open here, or its outbox was full. */
     boolean suspect;
     double lastHeardAt;
 
--- a/frontend/src/main/java/quincespar/routing/Reducer.java
+++ b/frontend/src/main/java/quincespar/routing/Reducer.java
@@ -180,6 +180,8 @@
             timerFired(i.key());
         } else if (input instanceof Input.SendWritten) {
             metrics.attemptSent();
+        } else if (input instanceof Input.SendRejected i) {
+            attempts.rejected(requests.attempt(i.key()));
         } else if (input instanceof Input.CancelWritten i) {
             attempts.cancelWritten(requests.attempt(i.key()));
         } else if (input instanceof Input.LinkUp i) {
--- a/frontend/src/test/java/quincespar/program/engines/EngineLinksTest.java
+++ b/frontend/src/test/java/quincespar/program/engines/EngineLinksTest.java
@@ -11,16 +11,19 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import quincespar.routing.AttemptKey;
 import quincespar.routing.Effect;
 import quincespar.routing.Input;
 import quincespar.routing.RoutingSettings;
 import quincespar.transport.EventLoop;
+import quincespar.transport.WithdrawableWrite;
 
-/** What the links report of messages that arrive in parts. */
+/** What the links report of messages that arrive in parts, and of attempts that can't be queued. */
 @Timeout(30)
 class EngineLinksTest {
     private static final String RESPONSE = "*4\r\n$1\r\na\r\n$4\r\nDONE\r\n$7\r\ncount=1\r\n$2\r\nx\n\r\n";
 
+    private static final int STATEMENT_BYTES = 60_000;
     private static final RoutingSettings SETTINGS = RoutingSettings.of(Map.of("tick", "5", "requestClasses.count", "1",
             "requestClasses.0.slo", "800", "requestClasses.0.hardLimit", "4000"));
 
@@ -55,4 +58,35 @@
             loop.stop();
         }
     }
+
+    /** Guards against attempts that end because another one does not fit into the outbox of their link. */
+    @Test
+    void anAttemptThatDoesNotFitLeavesItsLinkToTheOthers() throws Exception {
+        BlockingQueue<Input> posted = new LinkedBlockingQueue<>();
+        EventLoop loop = new EventLoop("test");
+        loop.start();
+        EngineLinks links = new EngineLinks(loop, SETTINGS, posted::add);
+        try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            links.open(new Effect.OpenLink(1, "127.0.0.1:" + server.getLocalPort()));
+            try (Socket engine = server.accept()) {
+                assertThat(posted.take()).isEqualTo(new Input.LinkUp(1));
+                int sent = 0;
+                while (sent == 0 || !(posted.peek() instanceof Input.SendRejected) && !(posted.peek() instanceof Input.LinkDown)) {
+                    posted.removeIf(input -> input instanceof Input.SendWritten);
+                    links.send(attempt(++sent));
+                }
+                assertThat(posted.take()).isEqualTo(new Input.SendRejected(new AttemptKey(sent, 0)));
+                engine.getOutputStream().write(RESPONSE.getBytes(StandardCharsets.US_ASCII));
+                assertThat(posted.take()).isInstanceOf(Input.EngineMessageReceived.class);
+                assertThat(engine.getInputStream().readNBytes((sent - 1) * STATEMENT_BYTES)).hasSize((sent - 1) * STATEMENT_BYTES);
+            }
+        } finally {
+            loop.stop();
+        }
+    }
+
+    private static Effect.Send attempt(int number) {
+        return new Effect.Send(1, new AttemptKey(number, 0), String.format("%016x", number), "load", "", 1, 1000,
+                new byte[STATEMENT_BYTES], new WithdrawableWrite());
+    }
 }
--- a/frontend/src/test/java/quincespar/routing/ReducerTest.java
+++ b/frontend/src/test/java/quincespar/routing/ReducerTest.java
@@ -451,6 +451,26 @@
         assertThat(lastOutcome()).isEqualTo(Outcome.RESET);
     }
 
+    /** Guards against attempts that end because another one does not fit into the outbox of their link. */
+    @Test
+    void anAttemptThatDoesNotFitEndsAloneAndItsLinkTakesNoMore() {
+        Effect.Send first = sendRequest(SAFE_CLASS);
+        beginWrite(first);
+        plannedActions.add(new Scheduler.SendAttempt(receiveUnsafe("b"), engine(0), 0));
+        decide();
+        Effect.Send second = last(Effect.Send.class);
+        assertThat(second.link()).isEqualTo(first.link());
+        step(new Input.SendRejected(second.key()));
+        assertThat(lastOutcome()).isEqualTo(Outcome.CONNECT_FAILED);
+        assertThat(of(Effect.CloseLink.class, effects)).isEmpty();
+        plannedActions.add(new Scheduler.SendAttempt(receiveUnsafe("c"), engine(0), 0));
+        decide();
+        step(new Input.LinkUp(last(Effect.OpenLink.class).link()));
+        assertThat(last(Effect.Send.class).link()).isNotEqualTo(first.link());
+        step(done(first, 1));
+        assertThat(last(Effect.Answer.class).reply()).isInstanceOf(Reply.Served.class);
+    }
+
     @Test
     void aMessageThatIsNotCompletedClosesItsLink() {
         Effect.Send send = sendRequest(SAFE_CLASS);
