--- a/frontend/src/test/java/quincespar/program/engines/EngineLinksTest.java
+++ b/frontend/src/test/java/quincespar/program/engines/EngineLinksTest.java
@@ -9,6 +9,8 @@
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import quincespar.routing.AttemptKey;
@@ -27,62 +29,67 @@
     private static final RoutingSettings SETTINGS = RoutingSettings.of(Map.of("tick", "5", "requestClasses.count", "1",
             "requestClasses.0.slo", "800", "requestClasses.0.hardLimit", "4000"));
 
+    private final BlockingQueue<Input> posted = new LinkedBlockingQueue<>();
+    private EventLoop loop;
+    private EngineLinks links;
+    private Socket engine;
+
+    /** Opens a link. */
+    @BeforeEach
+    void connect() throws Exception {
+        loop = new EventLoop("test");
+        loop.start();
+        links = new EngineLinks(loop, SETTINGS, posted::add);
+        try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            links.open(new Effect.OpenLink(1, "127.0.0.1:" + server.getLocalPort()));
+            engine = server.accept();
+        }
+        assertThat(posted.take()).isEqualTo(new Input.LinkUp(1));
+    }
+
+    @AfterEach
+    void disconnect() throws Exception {
+        engine.close();
+        loop.stop();
+    }
+
+    private void answer(String text) throws Exception {
+        engine.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+    }
+
     /**
      * Each write of the engine ends in the middle of a message, so the link is never between two messages. Every partial message
      * must still be reported anew, so that each has its own time limit.
      */
     @Test
     void reportsEachPartialMessageAnew() throws Exception {
-        BlockingQueue<Input> posted = new LinkedBlockingQueue<>();
-        EventLoop loop = new EventLoop("test");
-        loop.start();
-        EngineLinks links = new EngineLinks(loop, SETTINGS, posted::add);
-        try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            links.open(new Effect.OpenLink(1, "127.0.0.1:" + server.getLocalPort()));
-            try (Socket engine = server.accept()) {
-                assertThat(posted.take()).isEqualTo(new Input.LinkUp(1));
-                String firstPart = RESPONSE.substring(0, 20);
-                String rest = RESPONSE.substring(20);
-                engine.getOutputStream().write(firstPart.getBytes(StandardCharsets.US_ASCII));
-                assertThat(posted.take()).isEqualTo(new Input.PartialMessage(1, true));
-                for (int i = 0; i < 3; i++) {
-                    engine.getOutputStream().write((rest + firstPart).getBytes(StandardCharsets.US_ASCII));
-                    assertThat(posted.take()).isInstanceOf(Input.EngineMessageReceived.class);
-                    assertThat(posted.take()).isEqualTo(new Input.PartialMessage(1, true));
-                }
-                engine.getOutputStream().write(rest.getBytes(StandardCharsets.US_ASCII));
-                assertThat(posted.take()).isInstanceOf(Input.EngineMessageReceived.class);
-                assertThat(posted.take()).isEqualTo(new Input.PartialMessage(1, false));
-            }
-        } finally {
-            loop.stop();
+        String firstPart = RESPONSE.substring(0, 20);
+        String rest = RESPONSE.substring(20);
+        answer(firstPart);
+        assertThat(posted.take()).isEqualTo(new Input.PartialMessage(1, true));
+        for (int i = 0; i < 3; i++) {
+            answer(rest + firstPart);
+            assertThat(posted.take()).isInstanceOf(Input.EngineMessageReceived.class);
+            assertThat(posted.take()).isEqualTo(new Input.PartialMessage(1, true));
         }
+        answer(rest);
+        assertThat(posted.take()).isInstanceOf(Input.EngineMessageReceived.class);
+        assertThat(posted.take()).isEqualTo(new Input.PartialMessage(1, false));
     }
 
     /** Guards against attempts that end because another one does not fit into the outbox of their link. */
     @Test
     void anAttemptThatDoesNotFitLeavesItsLinkToTheOthers() throws Exception {
-        BlockingQueue<Input> posted = new LinkedBlockingQueue<>();
-        EventLoop loop = new EventLoop("test");
-        loop.start();
-        EngineLinks links = new EngineLinks(loop, SETTINGS, posted::add);
-        try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            links.open(new Effect.OpenLink(1, "127.0.0.1:" + server.getLocalPort()));
-            try (Socket engine = server.accept()) {
-                assertThat(posted.take()).isEqualTo(new Input.LinkUp(1));
-                int sent = 0;
-                while (sent == 0 || !(posted.peek() instanceof Input.SendRejected) && !(posted.peek() instanceof Input.LinkDown)) {
-                    posted.removeIf(input -> input instanceof Input.SendWritten);
-                    links.send(attempt(++sent));
-                }
-                assertThat(posted.take()).isEqualTo(new Input.SendRejected(new AttemptKey(sent, 0)));
-                engine.getOutputStream().write(RESPONSE.getBytes(StandardCharsets.US_ASCII));
-                assertThat(posted.take()).isInstanceOf(Input.EngineMessageReceived.class);
-                assertThat(engine.getInputStream().readNBytes((sent - 1) * STATEMENT_BYTES)).hasSize((sent - 1) * STATEMENT_BYTES);
-            }
-        } finally {
-            loop.stop();
+        int sent = 0;
+        while (!(posted.peek() instanceof Input.SendRejected) && !(posted.peek() instanceof Input.LinkDown)) {
+            posted.removeIf(input -> input instanceof Input.SendWritten);
+            links.send(attempt(++sent));
         }
+        assertThat(posted.take()).isEqualTo(new Input.SendRejected(new AttemptKey(sent, 0)));
+        answer(RESPONSE);
+        assertThat(posted.take()).isInstanceOf(Input.EngineMessageReceived.class);
+        int queuedBytes = (sent - 1) * STATEMENT_BYTES;
+        assertThat(engine.getInputStream().readNBytes(queuedBytes)).hasSize(queuedBytes);
     }
 
     private static Effect.Send attempt(int number) {
