Let all callers beyond the limit at the admin address give way, and look again

What callers saw: nothing; found on reading the change again. Each accept asked only the oldest caller without a complete call to give way. Where that one has bytes unread it stays, and once 24 such callers hold all places nothing is accepted, so none is asked again for 5 s. Cause: the limit was enforced by one step for each accept, not as a limit. Change: all beyond the 8 are asked, oldest first, and again after one has declined. Result: the eight tests of StatusServerTest green. The new one, 60 silent callers in one pass of the accept queue, is green before as well: the moment at which the oldest declines could not be forced in a test, so that part rests on reading.

--- a/frontend/src/main/java/quincespar/program/status/StatusServer.java
+++ b/frontend/src/main/java/quincespar/program/status/StatusServer.java
@@ -102,10 +102,13 @@
         Call call = new Call(Connection.accepted(loop, channel, "status", outboxLimit));
         calls.add(call);
         call.connection.start(call);
-        List<Call> incomplete = calls.stream().filter(c -> !c.requestComplete).toList();
-        if (incomplete.size() > MAX_INCOMPLETE_CALLS) {
-            incomplete.get(0).connection.closeIfIdle("its place is needed");
-        }
+        limitIncompleteCalls();
+    }
+
+    private void limitIncompleteCalls() {
+        List<Call> incomplete = calls.stream().filter(call -> !call.requestComplete).toList();
+        int excess = Math.max(0, incomplete.size() - MAX_INCOMPLETE_CALLS);
+        incomplete.subList(0, excess).forEach(call -> call.connection.closeIfIdle("its place is needed"));
     }
 
     private static String reasonPhrase(int status) {
@@ -189,6 +192,11 @@
             return requestComplete;
         }
 
+        @Override
+        public void idleCloseDeclined() {
+            loop.execute(StatusServer.this::limitIncompleteCalls); // after what has just arrived is read
+        }
+
         private void answer(Request request) {
             requestComplete = true;
             if (!isStatusPage(request) && calls.stream().filter(call -> call.awaitingPage).count() >= MAX_AWAITED_PAGES) {
--- a/frontend/src/test/java/quincespar/program/StatusServerTest.java
+++ b/frontend/src/test/java/quincespar/program/StatusServerTest.java
@@ -35,10 +35,14 @@
     }
 
     private void start(double timeoutMs) throws IOException {
+        bind(timeoutMs);
+        server.start();
+    }
+
+    private void bind(double timeoutMs) throws IOException {
         port = ScriptedPeers.freePort();
         server = new StatusServer(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), new Timers(i -> { }), timeoutMs,
                 ready::get, () -> "gw_current 3\n");
-        server.start();
     }
 
     private Socket connect() throws IOException {
@@ -108,6 +112,21 @@
         }
     }
 
+    /** Guards against silent callers that are accepted in one pass and take all places. */
+    @Test
+    void callersThatConnectAtOnceAndSayNothingDoNotBlockOthers() throws IOException {
+        bind(3_600_000);
+        List<Socket> silent = new ArrayList<>();
+        for (int i = 0; i < 60; i++) {
+            silent.add(connect()); // they wait in the accept queue
+        }
+        server.start();
+        assertThat(call(get("/status/metrics"))).startsWith("HTTP/1.1 200 ");
+        for (Socket s : silent) {
+            s.close();
+        }
+    }
+
     /** Guards against a call that gets no answer because callers that send none take its place. */
     @Test
     void aCallThatIsBeingAnsweredKeepsItsPlace() throws Exception {
