Copy the folder of a running instance anew when a file is renamed meanwhile

Cause: the schedules folder-of-another and two-of-one-name copy the folder of an instance that runs. The fault bench listed the files first and copied them afterwards; the instance replaces its mark by writing mark.next and renaming it, so a listed file can be gone when its turn comes. The product is not at fault.

Change: Folders (taken out of Node) copies again from the beginning when a listed file is missing, as long as the folder itself exists. What is copied and checked is as before.

--- a/faultbench/src/main/java/quincespar/faultbench/world/Cluster.java
+++ b/faultbench/src/main/java/quincespar/faultbench/world/Cluster.java
@@ -189,7 +189,7 @@
 
     /** Deletes a run's folder recursively. */
     public static void deleteFolder(Path folder) throws IOException {
-        Node.deleteFolder(folder);
+        Folders.delete(folder);
     }
 
     /** The instances by name. */
--- a/faultbench/src/main/java/quincespar/faultbench/world/Node.java
+++ b/faultbench/src/main/java/quincespar/faultbench/world/Node.java
@@ -5,7 +5,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -260,20 +259,20 @@
 
     /** Replaces its state folder by a copy of another instance's. */
     void takeCopyOf(Node other) throws IOException {
-        copy(other.stateFolder(), stateFolder());
+        Folders.copy(other.stateFolder(), stateFolder());
     }
 
     /** Saves a copy of its state folder, for {@link #replaceFolder}. */
     public void copyFolder() throws IOException {
-        copy(stateFolder(), folder.resolve("copy"));
+        Folders.copy(stateFolder(), folder.resolve("copy"));
         history.add(name, "folder copied", "");
     }
 
     /** Replaces its state folder by a copy of the given one, or deletes it if null; only while no process runs. */
     public void replaceFolder(Path from) throws IOException {
-        deleteFolder(stateFolder());
+        Folders.delete(stateFolder());
         if (from != null && Files.exists(from)) {
-            copy(from, stateFolder());
+            Folders.copy(from, stateFolder());
         }
         history.add(name, "folder replaced", from == null ? "by none" : "");
     }
@@ -300,25 +299,4 @@
         }
         history.add(name, "log torn", bytes + " bytes");
     }
-
-    private static void copy(Path from, Path to) throws IOException {
-        deleteFolder(to);
-        try (Stream<Path> all = Files.walk(from)) {
-            for (Path p : all.toList()) {
-                Files.copy(p, to.resolve(from.relativize(p).toString()));
-            }
-        } catch (java.io.UncheckedIOException e) {
-            throw e.getCause();
-        }
-    }
-
-    static void deleteFolder(Path what) throws IOException {
-        if (Files.exists(what)) {
-            try (Stream<Path> all = Files.walk(what)) {
-                for (Path p : all.sorted(Comparator.reverseOrder()).toList()) {
-                    Files.delete(p);
-                }
-            }
-        }
-    }
 }
