Answer before SIGKILL by the deadlines in force, not by those of the start

Clients of an old process could be left without an answer in an upgrade: SIGKILL follows SIGTERM after the longest deadline of the configuration, and the process took that deadline from the configuration it was started with. After a reload that drops the class with the longest deadline, or shortens it, it believed to have more time than it had; after one that lengthens it, it ended requests early.

Change: the longest deadline is that of the classes a request may name in the settings in force (RoutingSettings.longestDeadlineMs), published with each new settings. Dropped classes keep their place in the module's list and don't count.

Measured: UpgradeIT.aRequestOfADroppedClassIsAnsweredBeforeAnEarlierKill has an open load of 8 s, drops its class (4 s) by SIGHUP, which leaves 1.2 s, and upgrades.

Not changed: without another process, a request whose deadline lies beyond SIGKILL is left to it, whatever the configuration.

--- a/frontend/src/main/java/quincespar/program/FrontEnd.java
+++ b/frontend/src/main/java/quincespar/program/FrontEnd.java
@@ -111,6 +111,8 @@
     private volatile RecoveryReport recoveryReport;
     /** Published by the reducer's thread. */
     private volatile MetricsSnapshot metrics = MetricsSnapshot.NONE;
+    /** Of the classes in force; published by the reducer's thread. */
+    private volatile double longestDeadlineMs;
     private final ThriftServer thriftServer;
     private final EngineLinks engines;
     private final ChangeLogClient changeLogClient;
@@ -132,6 +134,7 @@
         currentDocument = valid.document();
         Configuration c = valid.configuration();
         configuration = c;
+        longestDeadlineMs = c.site().longestDeadlineMs();
         processLocks = ProcessLocks.acquire(environment, c.listen());
         keyLocks = openKeyLocks(c);
         bounds = c.bounds(settings);
@@ -361,11 +364,9 @@
         log.info("{}: stopped: {}", configuration.name(), allCounters());
     }
 
-    /** The earliest time of SIGKILL. */
+    /** The earliest time of SIGKILL, by the configuration in force. */
     private double killTime(double maxDeadlineMs) {
-        double longestDeadline = configuration.site().decision().classes().stream().mapToDouble(c -> c.deadline()).max()
-                .orElse(0);
-        return clock.now() - pauseDetector.maxDelayMs(clock.now()) + Math.min(longestDeadline, maxDeadlineMs) + KILL_DELAY_MS;
+        return clock.now() - pauseDetector.maxDelayMs(clock.now()) + Math.min(longestDeadlineMs, maxDeadlineMs) + KILL_DELAY_MS;
     }
 
     /**
@@ -477,6 +478,7 @@
         } else if (effect instanceof Effect.ConfigurationAccepted e) {
             currentDocument = e.document();
         } else if (effect instanceof Effect.ApplySettings e) {
+            longestDeadlineMs = e.settings().longestDeadlineMs();
             thriftServer.applySettings(e.settings());
             engines.applySettings(e.settings());
         } else if (effect instanceof Effect.PersistEntry e) {
--- a/frontend/src/main/java/quincespar/routing/RoutingSettings.java
+++ b/frontend/src/main/java/quincespar/routing/RoutingSettings.java
@@ -111,6 +111,11 @@
         return dropped;
     }
 
+    /** The longest deadline of the classes that a request may name, in milliseconds; 0 without classes. */
+    public double longestDeadlineMs() {
+        return classNumbers.values().stream().mapToDouble(number -> decision.classes().get(number).deadline()).max().orElse(0);
+    }
+
     /** The names of all classes by number, dropped ones too. */
     public List<String> classNames() {
         return decision.classes().stream().map(Scheduler.ClassSpec::name).toList();
--- a/frontend/src/test/java/quincespar/program/UpgradeIT.java
+++ b/frontend/src/test/java/quincespar/program/UpgradeIT.java
@@ -11,6 +11,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -235,6 +236,40 @@
         assertThat(lost).isEmpty();
     }
 
+    /**
+     * Guards against a request left without an answer at SIGKILL, which comes after the longest deadline of the configuration in
+     * force: a reload has dropped the class with a longer one, of which a request is open.
+     */
+    @Test
+    void aRequestOfADroppedClassIsAnsweredBeforeAnEarlierKill() throws Exception {
+        int admin = ScriptedPeers.freePort();
+        Process old = start(admin);
+        ScriptedPeers.awaitReady(admin);
+        try (ScriptedPeers.Client load = new ScriptedPeers.Client(port)) {
+            Map<String, String> request = new HashMap<>(fields("load", "00000000000000aa"));
+            request.put("limit", "8000");
+            load.call(1, request);
+            engine.next("serve"); // never answered
+            dropLoads();
+            signal(old, "HUP");
+            while (!load.counters().get("configurations.taken").equals("1")) {
+                ScriptedPeers.spin();
+            }
+            int second = ScriptedPeers.freePort();
+            start(second);
+            ScriptedPeers.awaitReady(second);
+            ScriptedPeers.terminate(old);
+            long termAt = System.nanoTime();
+            assertThat(load.answer()).isIn(ScriptedPeers.Kind.REFUSED, ScriptedPeers.Kind.FAILED);
+            assertThat(sinceMs(termAt)).isLessThan(KILL_MS);
+        }
+    }
+
+    private void dropLoads() throws IOException {
+        String all = Files.readString(file);
+        Files.writeString(file, all.substring(0, all.indexOf(",\n {\"name\":\"load\"")).replace("4000", "" + DEADLINE_MS) + "]}}");
+    }
+
     /** A pause of a process for {@code ms}, {@code after} ms from the event {@code phase}. */
     private record Pause(String phase, int after, int ms) { }
 
