Let the fault bench read status samples while other threads add some

Cause: the latest samples were in a synchronized map, whose values were iterated without its lock, while the threads that ask the instances for their status added the first sample of an instance.

Change: LatestSamples holds them in a concurrent map, and takes the four queries over them out of Run.

--- a/faultbench/src/main/java/quincespar/faultbench/Run.java
+++ b/faultbench/src/main/java/quincespar/faultbench/Run.java
@@ -41,7 +41,7 @@
     private final Schedule schedule;
     private final History history = new History();
     private final List<String> problems = Collections.synchronizedList(new ArrayList<>());
-    private final Map<String, StatusSample> lastSamples = Collections.synchronizedMap(new LinkedHashMap<>());
+    private final LatestSamples lastSamples = new LatestSamples();
     private final Map<String, List<String>> folderIdentities = Collections.synchronizedMap(new LinkedHashMap<>());
     /** Since when an instance has a folder with which it must not vote. */
     private final Map<String, Long> untrustedSince = Collections.synchronizedMap(new LinkedHashMap<>());
@@ -86,7 +86,7 @@
                 threads.add(thread("status-" + n.name(), () -> sampleStatus(n)));
             }
             if (!until(() -> converged(cluster))) {
-                problems.add("the instances did not converge at the start: " + lastSamples.values());
+                problems.add("the instances did not converge at the start: " + lastSamples);
                 return problems;
             }
             List<Client> clients = new ArrayList<>();
@@ -103,7 +103,7 @@
             lastStepAt = System.nanoTime(); // samples of a killed process say nothing about its successor
             boolean recovered = until(() -> converged(cluster));
             if (!recovered) {
-                problems.add("the instances did not converge after the faults: " + lastSamples.values());
+                problems.add("the instances did not converge after the faults: " + lastSamples);
                 dumpThreads(cluster);
             }
             if (recovered) {
@@ -164,9 +164,9 @@
      */
     private boolean converged(Cluster cluster) {
         long now = System.nanoTime();
-        long maxApplied = lastSamples.values().stream().mapToLong(StatusSample::applied).max().orElse(0);
+        long maxApplied = lastSamples.maxApplied();
         for (Node n : cluster.nodes().values()) {
-            StatusSample sample = lastSamples.get(n.name());
+            StatusSample sample = lastSamples.of(n.name());
             if (sample == null || sample.at() < lastStepAt || now - sample.at() > TimeUnit.SECONDS.toNanos(2)
                     || !sample.quorumReachable()
                     || sample.voting() && sample.applied() < Math.max(1, maxApplied - MAX_APPLIED_LAG)
@@ -200,7 +200,7 @@
                         Long.parseLong(v.get("term")), Long.parseLong(v.get("applied")),
                         Long.parseLong(v.get("version")), standings);
                 history.add(sample);
-                lastSamples.put(n.name(), sample);
+                lastSamples.add(sample);
             }
             pause(SAMPLE_EVERY_MS);
         }
@@ -261,7 +261,7 @@
             if (!until(() -> read(n, register, "last", new long[REGISTERS]))) {
                 problems.add(n.name() + " can no longer read " + register + ": " + cluster.nodes().values().stream().map(o ->
                         o.name() + " returns " + AdminClient.call(o.adminAddress(), "GET", "/fleet/registers/" + register,
-                        REGISTER_TIMEOUT_MS).summary() + " with status " + lastSamples.get(o.name())).toList());
+                        REGISTER_TIMEOUT_MS).summary() + " with status " + lastSamples.of(o.name())).toList());
                 dumpThreads(cluster);
                 return false;
             }
@@ -285,8 +285,7 @@
     }
 
     private String leader() {
-        return lastSamples.values().stream().filter(sample -> sample.voting() && sample.leader().equals(sample.node())).max(
-                java.util.Comparator.comparingLong(StatusSample::term)).map(StatusSample::node).orElse("n1");
+        return lastSamples.leader("n1");
     }
 
     private void playStep(Cluster cluster, Step s) throws IOException, InterruptedException {
@@ -417,10 +416,10 @@
             case READONLY -> n.setDiskFault(false, true);
             case SOUND -> n.setDiskFault(false, false);
             case TEAR -> n.truncateLog(s.amount());
-            case LIVES -> mustNotEnd.put(n.name(), lastSamples.get(n.name()).incarnation());
+            case LIVES -> mustNotEnd.put(n.name(), lastSamples.of(n.name()).incarnation());
             case AWAIT -> {
                 if (!until(() -> {
-                    StatusSample sample = lastSamples.get(n.name());
+                    StatusSample sample = lastSamples.of(n.name());
                     return sample != null && sample.quorumReachable() && sample.at() > lastStepAt;
                 })) {
                     problems.add(n.name() + " did not reach a quorum");
@@ -445,8 +444,8 @@
     }
 
     private void awaitIncarnationEnded(Node n) throws InterruptedException {
-        String ended = n.name() + ":" + lastSamples.get(n.name()).incarnation() + ":GONE";
-        if (!until(() -> lastSamples.values().stream().anyMatch(sample -> sample.standings().contains(ended)))) {
+        String ended = n.name() + ":" + lastSamples.of(n.name()).incarnation() + ":GONE";
+        if (!until(() -> lastSamples.anyLists(ended))) {
             problems.add("the fleet did not end the incarnation of " + n.name());
         }
     }
@@ -491,7 +490,7 @@
             boolean lost = AdminClient.call(n.adminAddress(), "GET", "/fleet", STATUS_TIMEOUT_MS).body()
                     .contains("its last vote was lost");
             if (!untrustedSince.containsKey(n.name()) && !lost && cluster.isVoter(n.name())
-                    && !until(() -> lastSamples.get(n.name()).voting(), VOTE_TIMEOUT_S)) {
+                    && !until(() -> lastSamples.of(n.name()).voting(), VOTE_TIMEOUT_S)) {
                 problems.add(n.name() + " no longer votes although its folder was not changed: its durable state was lost");
             }
         }
