Keep the events, unanswered requests and logs of a failed fixed schedule

Change: when a fixed schedule fails, the test prints all events of the run, each request without an answer with the times of its connection, sending and end, and the last 80 lines of each process's log; the failure itself names the requests.

No schedule failed with it so far, so what it prints of a real failure has not been seen.

--- a/faultbench/src/test/java/quincespar/faultbench/FixedSchedulesIT.java
+++ b/faultbench/src/test/java/quincespar/faultbench/FixedSchedulesIT.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
+import quincespar.faultbench.report.FailureText;
 import quincespar.faultbench.schedule.FixedSchedules;
 import quincespar.faultbench.schedule.Schedule;
 import quincespar.faultbench.world.Cluster;
@@ -28,10 +29,10 @@
         return FixedSchedules.playedAtEachBuild();
     }
 
-    private List<String> play(String name, Path plant) throws IOException, InterruptedException {
+    private Run run(String name, Path plant) throws IOException {
         boolean loss = FixedSchedules.isPowerLoss(name);
         return new Run(new Cluster.Options(5, 5, true, JAR, plant, folder, loss, loss),
-                Schedule.read(FixedSchedules.texts().get(name))).play();
+                Schedule.read(FixedSchedules.texts().get(name)));
     }
 
     @ParameterizedTest
@@ -39,7 +40,12 @@
     void allChecksHold(String name) throws IOException, InterruptedException {
         String planted = FixedSchedules.requiredPlant(name);
         Path plant = planted == null ? null : Plant.compileWithout(planted, ROOT, JAR, folder);
-        assertThat(play(name, plant)).isEmpty();
+        Run run = run(name, plant);
+        List<String> problems = run.play();
+        if (!problems.isEmpty()) {
+            System.out.println(name + "\n" + FailureText.of(run.history(), problems, folder));
+        }
+        assertThat(problems).as(() -> "requests without an answer:\n" + FailureText.unansweredRequests(run.history())).isEmpty();
     }
 
     @ParameterizedTest
@@ -47,6 +53,6 @@
         "fsync, restart, its durable state was lost"})
     void checkersFindTheFailureOfARemovedGuard(String guard, String name, String found) throws IOException, InterruptedException {
         Path plant = Plant.compileWithout(guard, ROOT, JAR, folder);
-        assertThat(play(name, plant)).anySatisfy(line -> assertThat(line).contains(found));
+        assertThat(run(name, plant).play()).anySatisfy(line -> assertThat(line).contains(found));
     }
 }
