Count a connection as used when its requests are refused without being opened

Clients whose requests were all refused at the limit of open requests lost their connection every 2 s while they sent.

Cause: only an opened request took a connection out of those that have sent nothing, or restarted its idle timer. One that was answered at once did neither: refused for the number or the memory of open requests, for a shutdown or a recovery, under an id that is open already, or for lack of memory while it arrived. So its timer of 2 s for the first request ran on, and it was the first to give way to a new connection.

Change: such a request puts its connection behind all other idle ones and restarts its timer as the end of a request does. A call that is refused while it arrives tells the reducer so (RequestDropped). Invalid messages still do not keep a connection.

--- a/frontend/src/main/java/quincespar/program/clients/ThriftServer.java
+++ b/frontend/src/main/java/quincespar/program/clients/ThriftServer.java
@@ -399,6 +399,7 @@
             }
             lastSeqid = seqid.getAsInt();
             counters.count(Counters.Count.REQUESTS_DROPPED);
+            pending.add(new Input.RequestDropped(number));
             send(lastSeqid, FrontCodec.busy(lastSeqid, Map.of()));
         }
 
--- a/frontend/src/main/java/quincespar/routing/CallerConnections.java
+++ b/frontend/src/main/java/quincespar/routing/CallerConnections.java
@@ -46,6 +46,18 @@
         connection.open.add(request);
     }
 
+    /** A request was answered without being opened, which shows that the connection is used. True where no request is open on it. */
+    boolean requestNotOpened(long id) {
+        CallerConnection connection = byId.get(id);
+        if (connection == null || !connection.open.isEmpty()) {
+            return false;
+        }
+        unused.remove(connection);
+        idle.remove(connection); // and back, as the one that is idle for the shortest time
+        idle.add(connection);
+        return true;
+    }
+
     /** True where the connection has no other open request. */
     boolean requestClosed(OpenRequest request) {
         CallerConnection connection = byId.get(request.caller.connection());
--- a/frontend/src/main/java/quincespar/routing/Input.java
+++ b/frontend/src/main/java/quincespar/routing/Input.java
@@ -59,6 +59,9 @@
     /** An attempt has been written completely. */
     record SendWritten(AttemptKey key) implements Input { }
 
+    /** A client's request for which there was no memory while it arrived has been refused. */
+    record RequestDropped(long connection) implements Input { }
+
     /** An attempt does not fit into its link's outbox; no byte of it has been written, or will be. */
     record SendRejected(AttemptKey key) implements Input { }
 
--- a/frontend/src/main/java/quincespar/routing/Reducer.java
+++ b/frontend/src/main/java/quincespar/routing/Reducer.java
@@ -198,6 +198,8 @@
             requests.callerConnected(i.connection());
         } else if (input instanceof Input.CallerNotClosed i) {
             requests.callerNotClosed(i.connection());
+        } else if (input instanceof Input.RequestDropped i) {
+            requests.notOpened(i.connection());
         } else if (input instanceof Input.HealthRequested i) {
             context.addEffect(new Effect.AnswerHealth(i.caller()));
         } else if (input instanceof Input.ChangesReceived i) {
--- a/frontend/src/main/java/quincespar/routing/Requests.java
+++ b/frontend/src/main/java/quincespar/routing/Requests.java
@@ -153,12 +153,12 @@
         Query query = input.query();
         if (unanswered.containsKey(input.caller()) || byTxn.containsKey(query.txn())) {
             // neither an engine nor this front end could tell the two requests apart
-            reply(input.caller(), query.classNumber(), new Reply.Failed());
+            answerUnopened(input, new Reply.Failed());
             return;
         }
         double retryAfterMs = refusalRetryAfterMs(input);
         if (!Double.isNaN(retryAfterMs)) { // not registered yet, so it has not run
-            reply(input.caller(), query.classNumber(), new Reply.Refused(retryAfterMs));
+            answerUnopened(input, new Reply.Refused(retryAfterMs));
             return;
         }
         OpenRequest request = open(input);
@@ -169,6 +169,18 @@
         tellModuleWhenDue(request);
     }
 
+    private void answerUnopened(Input.RequestReceived input, Reply reply) {
+        reply(input.caller(), input.query().classNumber(), reply);
+        notOpened(input.caller().connection());
+    }
+
+    /** A request on this connection was answered without being opened: the connection is in use for as long as after others. */
+    void notOpened(long connection) {
+        if (connections.requestNotOpened(connection)) {
+            context.startTimer(new TimerKey.CallerIdle(connection), bounds.callerIdleMs());
+        }
+    }
+
     /** After how long the client of a request that must be refused may try again; NaN where it may be opened. */
     private double refusalRetryAfterMs(Input.RequestReceived input) {
         if (refusing || unanswered.size() >= bounds.maxRequests()) {
--- a/frontend/src/test/java/quincespar/routing/ReducerTest.java
+++ b/frontend/src/test/java/quincespar/routing/ReducerTest.java
@@ -415,6 +415,19 @@
                 .containsExactly(9L, 10L, 8L, 13L);
     }
 
+    /** Guards against a client that is refused while it sends losing its connection as one that has sent nothing. */
+    @Test
+    void aConnectionWhoseRequestsAreRefusedIsInUse() {
+        step(new Input.CallerConnected(7), new Input.CallerConnected(8), new Input.CallerConnected(9));
+        step(new Input.RefuseNewRequests());
+        step(request(new Caller(7, 1), "a", now), new Input.RequestDropped(8));
+        assertThat(of(Effect.StartTimer.class, effects)).contains(new Effect.StartTimer(new TimerKey.CallerIdle(7), 2500),
+                new Effect.StartTimer(new TimerKey.CallerIdle(8), 2500));
+        step(new Input.CallerConnected(10)); // one more than the limit: 9 has sent nothing
+        step(request(new Caller(10, 1), "b", now), new Input.CallerConnected(11)); // 7 was used before the others
+        assertThat(of(Effect.CloseCaller.class, effects)).extracting(Effect.CloseCaller::connection).containsExactly(9L, 7L);
+    }
+
     @Test
     void onlyAnIdleConnectionIsClosedByItsTimer() {
         step(new Input.CallerConnected(7), new Input.CallerConnected(8), request(new Caller(8, 1), "a", now));
