Answer a few health calls per step, so that a flood of them delays no requests

Clients that make health calls at full speed (60 connections, 300 calls at once on each) delayed all others: of 200 lookups made one after the other beside them not all were answered within 120 s.

Cause: each health call was answered in the step that handled it, so that a request waited for all health calls before it, and each answer collected all counters anew, the processor time from /proc among them.

Change: health calls wait in HealthCalls. After each step 16 are answered, with counters collected once, and while some wait the reducer's thread does not wait for inputs. ClientProtocol.health takes the callers of a step.

--- a/frontend/src/main/java/quincespar/program/FrontEnd.java
+++ b/frontend/src/main/java/quincespar/program/FrontEnd.java
@@ -15,6 +15,7 @@
 import quincespar.metrics.PrometheusText;
 import quincespar.program.Lifecycle.Phase;
 import quincespar.program.captures.CaptureSession;
+import quincespar.program.clients.HealthCalls;
 import quincespar.program.clients.ThriftServer;
 import quincespar.program.engines.ChangeLogClient;
 import quincespar.program.engines.EngineLinks;
@@ -114,6 +115,8 @@
     /** Of the classes in force; published by the reducer's thread. */
     private volatile double longestDeadlineMs;
     private final ThriftServer thriftServer;
+    /** Used on the reducer's thread only. */
+    private final HealthCalls healthCalls = new HealthCalls();
     private final EngineLinks engines;
     private final ChangeLogClient changeLogClient;
 
@@ -212,8 +215,8 @@
             }
             start();
             while (lifecycle.phase() != Phase.STOPPED) {
-                step(inputs.take());
-                if (lifecycle.phase() == Phase.FINISHING && reducer.openRequests() == 0 && inputs.size() == 0) {
+                stepWithNextInputs();
+                if (lifecycle.phase() == Phase.FINISHING && nothingOpen()) {
                     stop();
                 }
             }
@@ -231,6 +234,25 @@
         }
     }
 
+    /** Handles the next inputs, and then some of the health calls. While more of those wait, it doesn't wait for inputs. */
+    private void stepWithNextInputs() throws InterruptedException {
+        List<Input> batch = healthCalls.isEmpty() ? inputs.take() : inputs.take(0);
+        if (!batch.isEmpty()) {
+            step(batch);
+        }
+        answerHealthCalls();
+    }
+
+    private void answerHealthCalls() {
+        if (!healthCalls.isEmpty()) {
+            thriftServer.health(healthCalls.next(), lifecycle.ready());
+        }
+    }
+
+    private boolean nothingOpen() {
+        return reducer.openRequests() == 0 && inputs.size() == 0 && healthCalls.isEmpty();
+    }
+
     /** Waits until it serves, or has stopped without serving. */
     void awaitServing() throws InterruptedException {
         lifecycle.await(Phase.SERVING);
@@ -464,7 +486,7 @@
         } else if (effect instanceof Effect.CloseLink e) {
             engines.close(e);
         } else if (effect instanceof Effect.AnswerHealth e) {
-            thriftServer.health(e.caller(), lifecycle.ready());
+            healthCalls.add(e.caller());
         } else if (effect instanceof Effect.Probe e) {
             engines.probe(e);
         } else if (effect instanceof Effect.PollChangeLog e) {
--- a/frontend/src/main/java/quincespar/program/clients/ThriftServer.java
+++ b/frontend/src/main/java/quincespar/program/clients/ThriftServer.java
@@ -200,10 +200,13 @@
     }
 
     @Override
-    public void health(Caller caller, boolean ready) {
-        Session session = sessions.get(caller.connection());
-        if (session != null) {
-            session.sendHealth(FrontCodec.answer("health", caller.call(), new byte[0], healthFields.get(), ready));
+    public void health(List<Caller> callers, boolean ready) {
+        Map<String, String> fields = healthFields.get(); // once for all, as they take longer than the rest of an answer
+        for (Caller caller : callers) {
+            Session session = sessions.get(caller.connection());
+            if (session != null) {
+                session.sendHealth(FrontCodec.answer("health", caller.call(), new byte[0], fields, ready));
+            }
         }
     }
 
--- /dev/null
+++ b/frontend/src/test/java/quincespar/program/clients/HealthCallsTest.java
@@ -0,0 +1,36 @@
+package quincespar.program.clients;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import quincespar.routing.Caller;
+
+class HealthCallsTest {
+    private final HealthCalls calls = new HealthCalls();
+
+    private static List<Caller> callers(int from, int to) {
+        return IntStream.range(from, to).mapToObj(call -> new Caller(1, call)).toList();
+    }
+
+    /** Guards against a flood of health calls that is answered before any request behind it. */
+    @Test
+    void aStepAnswersAFewInTheOrderOfArrival() {
+        callers(0, 20).forEach(calls::add);
+        assertThat(calls.next()).isEqualTo(callers(0, 16));
+        calls.add(new Caller(1, 20));
+        assertThat(calls.isEmpty()).isFalse();
+        assertThat(calls.next()).isEqualTo(callers(16, 21));
+        assertThat(calls.isEmpty()).isTrue();
+        assertThat(calls.next()).isEmpty();
+    }
+
+    /** Guards against a heap filled by health calls that wait. */
+    @Test
+    void theNumberThatWaitsIsBounded() {
+        callers(0, HealthCalls.MAX_WAITING + 100).forEach(calls::add);
+        assertThat(calls.next()).hasSize(100);
+        assertThat(calls.next()).hasSize(16);
+    }
+}
--- a/frontend/src/test/java/quincespar/program/clients/ThriftServerTest.java
+++ b/frontend/src/test/java/quincespar/program/clients/ThriftServerTest.java
@@ -164,7 +164,7 @@
                 CountDownLatch handled = new CountDownLatch(1);
                 loop.execute(handled::countDown); // behind the task that closes
                 handled.await();
-                server.health(caller, true);
+                server.health(List.of(caller), true);
                 assertThat(readSeqid(new DataInputStream(client.getInputStream()))).isEqualTo(1);
             }
         }
@@ -174,7 +174,7 @@
             client.getOutputStream().write(new byte[] {-1, -1, -1, -1});
             DataInputStream in = new DataInputStream(client.getInputStream());
             assertThat(readSeqid(in)).isZero();
-            server.health(caller, true);
+            server.health(List.of(caller), true);
             assertThat(readSeqid(in)).isEqualTo(1);
             assertThat(readSeqid(in)).isEqualTo(-1); // it ends after that
         }
