Share the setup of the tests that flood a front end

Cause: HealthFloodIT repeated how LongStatementsIT starts the program, ends the flood and looks for a lack of memory.

Change: FloodedFrontEnd has that once. What both tests check is unchanged.

--- a/frontend/src/test/java/quincespar/program/LongStatementsIT.java
+++ b/frontend/src/test/java/quincespar/program/LongStatementsIT.java
@@ -4,20 +4,14 @@
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import org.junit.jupiter.api.io.TempDir;
 import quincespar.protocol.thrift.FrontCodec;
 
 /**
@@ -25,7 +19,7 @@
  * nothing of theirs: other clients still get their answers.
  */
 @Timeout(120)
-class LongStatementsIT {
+class LongStatementsIT extends FloodedFrontEnd {
     private static final int FLOODING_CONNECTIONS = 60, MAX_OPEN = 32, STATEMENT_BYTES = 60_000;
     /** More than the heap holds. */
     private static final int REQUESTS_BEFORE_LOOKUPS = 3 * FLOODING_CONNECTIONS * MAX_OPEN;
@@ -34,20 +28,7 @@
     private static final int ANSWER_MS = 3500;
     private static final int PARTIAL_CONNECTIONS = 1100;
 
-    private final AtomicBoolean over = new AtomicBoolean();
     private final AtomicInteger sent = new AtomicInteger();
-    private final List<CompletableFuture<Void>> floods = new ArrayList<>();
-    @TempDir
-    private Path folder;
-    private Process process;
-
-    @AfterEach
-    void stop() throws InterruptedException {
-        over.set(true);
-        if (process != null) {
-            process.destroyForcibly().waitFor();
-        }
-    }
 
     /** Guards against a heap filled by long statements, in which the front end stands still or ends. */
     @Test
@@ -78,29 +59,14 @@
         assertEnoughMemory();
     }
 
-    /** Starts the program with an engine that answers lookups only; returns its port. */
-    private int start() throws Exception {
-        ScriptedPeers.Engine engine = new ScriptedPeers.Engine();
-        int port = ScriptedPeers.freePort();
-        int admin = ScriptedPeers.freePort();
-        Path file = Files.writeString(folder.resolve("config.json"), ScriptedPeers.configuration(port,
-                new ScriptedPeers.ChangeLog(), engine, ScriptedPeers.LOOKUP, ScriptedPeers.LOAD)
-                .replace("\"sockets\":64", "\"sockets\":4096,\"memory_mb\":192"));
-        process = ScriptedPeers.startProcess("", file, admin, Files.createDirectory(folder.resolve("tmp")),
-                folder.resolve("log"));
-        ScriptedPeers.awaitReady(admin);
-        ScriptedPeers.runAsync(() -> answerLookups(engine));
-        return port;
-    }
-
     /** Starts the clients that send long statements, and waits until they have sent more than the heap holds. */
     private void flood(int port) {
         for (int i = 0; i < FLOODING_CONNECTIONS; i++) {
             int number = i;
-            floods.add(ScriptedPeers.runAsync(() -> flood(port, number)));
+            startFlood(() -> flood(port, number));
         }
         while (sent.get() < REQUESTS_BEFORE_LOOKUPS) {
-            assertThat(process.isAlive()).isTrue();
+            assertAlive();
             ScriptedPeers.spin();
         }
     }
@@ -117,27 +83,11 @@
         }
     }
 
-    private void assertEnoughMemory() throws Exception {
-        over.set(true);
-        process.destroyForcibly().waitFor(); // ends the clients that still wait for answers
-        floods.forEach(f -> f.handle((ok, failure) -> null).join());
-        assertThat(Files.readString(folder.resolve("log"))).doesNotContain("OutOfMemoryError");
-    }
-
-    private static void answerLookups(ScriptedPeers.Engine engine) throws InterruptedException {
-        while (true) {
-            ScriptedPeers.Engine.Command command = engine.commands.take();
-            if (command.words().get(0).equals("serve") && command.words().get(2).startsWith("queue=lookup")) {
-                command.answer(command.id(), "DONE", "count=1", "row\ta\tb\n");
-            }
-        }
-    }
-
     /** Sends as many loads as may be open, and one more for each answer. */
     private void flood(int port, int number) throws IOException {
         byte[] statement = ("SELECT /*" + "x".repeat(STATEMENT_BYTES) + "*/ 1 FROM sales_3.t").getBytes(StandardCharsets.UTF_8);
         try (ScriptedPeers.Client client = new ScriptedPeers.Client(port)) {
-            for (int call = 1; !over.get(); call++) {
+            for (int call = 1; !floodIsOver(); call++) {
                 Map<String, String> fields = ScriptedPeers.fields("load", String.format("%08x%08x", number + 1, call));
                 client.raw(FrontCodec.call(call, fields, statement));
                 sent.incrementAndGet();
