Keep the reducer's thread alive when answering health calls fails

Cause: took the answers to health calls out of the steps, and with that out of the place where an error, such as a lack of memory, is caught and reported. It would have ended the reducer's thread. Found on reading.

Change: they are guarded as effects are.

Measured: module tests hold; there is no test that makes such an answer fail.

--- a/frontend/src/main/java/quincespar/program/FrontEnd.java
+++ b/frontend/src/main/java/quincespar/program/FrontEnd.java
@@ -244,8 +244,13 @@
     }
 
     private void answerHealthCalls() {
-        if (!healthCalls.isEmpty()) {
+        if (healthCalls.isEmpty()) {
+            return;
+        }
+        try {
             thriftServer.health(healthCalls.next(), lifecycle.ready());
+        } catch (RuntimeException | VirtualMachineError e) { // as for effects: no input from a peer may end the program
+            reportError("answering health calls", e);
         }
     }
 
