Time the passes of the event loops, the reducer's queue and health answers

The counters could not tell where a lookup waits beside a flood of health calls: no pass of an event loop was timed, the queue counted entries of up to 2,400 inputs each, steps.us left out the health answers, and answers after their time were not counted.

--- a/frontend/src/main/java/quincespar/program/FrontEnd.java
+++ b/frontend/src/main/java/quincespar/program/FrontEnd.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.atomic.AtomicLong;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import quincespar.decision.GcMuScheduler;
@@ -34,12 +33,14 @@
 import quincespar.program.status.StatusServer;
 import quincespar.recovery.Recovery;
 import quincespar.routing.Bounds;
+import quincespar.routing.Caller;
 import quincespar.routing.Effect;
 import quincespar.routing.Input;
 import quincespar.routing.RecoveryReport;
 import quincespar.routing.Reducer;
 import quincespar.settings.Keyword;
 import quincespar.settings.Settings;
+import quincespar.transport.DurationStats;
 import quincespar.transport.EventLoop;
 import quincespar.transport.Listener;
 import quincespar.transport.Retry;
@@ -82,7 +83,8 @@
     private static final long CLOSE_TIMEOUT_MS = 100;
     private static final long FLEET_READ_DELAY_MS = 100;
 
-    private final AtomicLong stepUs = new AtomicLong(), longestStepUs = new AtomicLong();
+    private final DurationStats steps = new DurationStats();
+    private final DurationStats healthSteps = new DurationStats();
     private final Lifecycle lifecycle = new Lifecycle();
     private final Counters counters = new Counters();
     private final Clock clock = new Clock();
@@ -247,8 +249,12 @@
         if (healthCalls.isEmpty()) {
             return;
         }
+        long startedAt = System.nanoTime();
         try {
-            thriftServer.health(healthCalls.next(), lifecycle.ready());
+            List<Caller> callers = healthCalls.next();
+            thriftServer.health(callers, lifecycle.ready());
+            counters.add(Counters.Count.HEALTH_ANSWERED, callers.size());
+            healthSteps.addSince(startedAt);
         } catch (RuntimeException | VirtualMachineError e) { // as for effects: no input from a peer may end the program
             reportError("answering health calls", e);
         }
@@ -443,13 +449,12 @@
     private void step(List<Input> batch) {
         try {
             batch.forEach(counters::countInput);
+            long startedAt = System.nanoTime();
             double from = clock.now();
             pauseDetector.stepped(from);
             perform(reducer.step(from, batch));
             publish();
-            long us = Math.round(1000 * (clock.now() - from));
-            stepUs.addAndGet(us);
-            longestStepUs.accumulateAndGet(us, Math::max);
+            steps.addSince(startedAt);
         } catch (RuntimeException | VirtualMachineError e) { // no input from a peer may end the program
             reportError("in the reducer", e);
         }
@@ -531,6 +536,11 @@
                 inputs.add(new Input.FleetStateReceived(e == null ? state : null))));
     }
 
+    private static void putDurations(Map<String, String> counters, String name, DurationStats durations) {
+        counters.put(name + ".us", Long.toString(durations.totalUs()));
+        counters.put(name + ".longest_us", Long.toString(durations.longestUs()));
+    }
+
     private Map<String, String> allCounters() {
         Map<String, String> all = new LinkedHashMap<>(counters.snapshot());
         all.put("phase", lifecycle.phase().name().toLowerCase(java.util.Locale.ROOT));
@@ -540,8 +550,12 @@
         if (capture != null) {
             capture.counts().forEach((name, n) -> all.put(name, n.toString()));
         }
-        all.put("steps.us", stepUs.toString());
-        all.put("steps.longest_us", longestStepUs.toString());
+        putDurations(all, "steps", steps);
+        putDurations(all, "steps.health", healthSteps);
+        putDurations(all, "loops.clients", clientLoop.passes());
+        putDurations(all, "loops.engines", engineLoop.passes());
+        putDurations(all, "inputs.wait", inputs.waits());
+        all.put("held.health-calls", Integer.toString(healthCalls.size()));
         ProcessHandle.current().info().totalCpuDuration().ifPresent(d -> all.put("cpu.ms", Long.toString(d.toMillis())));
         all.put("log.dropped", Long.toString(logs.dropped()));
         all.put("held.timers", Integer.toString(timers.size()));
--- a/frontend/src/main/java/quincespar/program/clients/HealthCalls.java
+++ b/frontend/src/main/java/quincespar/program/clients/HealthCalls.java
@@ -28,6 +28,11 @@
         return waiting.isEmpty();
     }
 
+    /** How many wait. */
+    public int size() {
+        return waiting.size();
+    }
+
     /** Removes the calls to answer in this step, in the order of their arrival. */
     public List<Caller> next() {
         int count = Math.min(waiting.size(), Math.max(ANSWERS_PER_STEP, waiting.size() - MAX_WAITING));
--- a/frontend/src/main/java/quincespar/program/runtime/InputQueue.java
+++ b/frontend/src/main/java/quincespar/program/runtime/InputQueue.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import quincespar.routing.Input;
+import quincespar.transport.DurationStats;
 
 /**
  * The queue of inputs to the reducer's thread. Inputs from peers are bounded by their number and by the bytes of statements
@@ -23,16 +24,22 @@
     private static final int MAX_PERMITS_PER_ENTRY = 256;
     private static final int MAX_BATCH_ENTRIES = 256;
 
-    /** Inputs that are taken together, and the permits that they hold while they are queued. */
-    private record QueuedInputs(List<Input> inputs, int permits) { }
+    /**
+     * Inputs that are taken together.
+     *
+     * @param permits  what they hold while they are queued
+     * @param queuedAt since when they wait; {@link System#nanoTime}
+     */
+    private record QueuedInputs(List<Input> inputs, int permits, long queuedAt) { }
 
     private final BlockingQueue<QueuedInputs> queue = new LinkedBlockingQueue<>();
+    private final DurationStats waits = new DurationStats();
     private final Semaphore peerPermits = new Semaphore(PEER_PERMITS);
     private volatile Thread consumer;
 
     /** Adds an input of the program itself; never blocks. */
     public void add(Input input) {
-        queue.add(new QueuedInputs(List.of(input), 0));
+        queue.add(new QueuedInputs(List.of(input), 0, System.nanoTime()));
     }
 
     /** Adds an input from a peer; blocks while the queue is full. */
@@ -42,9 +49,10 @@
 
     /** Adds inputs from a peer that must be taken in one batch, as they were read together; blocks while the queue is full. */
     public void addFromPeer(List<Input> together) {
+        long queuedAt = System.nanoTime();
         int permits = Thread.currentThread() == consumer ? 0 : permits(together);
         peerPermits.acquireUninterruptibly(permits);
-        queue.add(new QueuedInputs(List.copyOf(together), permits));
+        queue.add(new QueuedInputs(List.copyOf(together), permits, queuedAt));
     }
 
     private static int permits(List<Input> together) {
@@ -72,6 +80,11 @@
         return queue.size();
     }
 
+    /** How long inputs have waited, with the time until the queue had room for them. */
+    public DurationStats waits() {
+        return waits;
+    }
+
     private List<Input> takeBatch(QueuedInputs first) {
         List<QueuedInputs> entries = new ArrayList<>();
         entries.add(first);
@@ -81,6 +94,7 @@
         for (QueuedInputs entry : entries) {
             batch.addAll(entry.inputs());
             permits += entry.permits();
+            waits.addSince(entry.queuedAt());
         }
         peerPermits.release(permits);
         return batch;
--- a/frontend/src/main/java/quincespar/routing/Requests.java
+++ b/frontend/src/main/java/quincespar/routing/Requests.java
@@ -14,6 +14,7 @@
     private static final double DELIVERY_MARGIN_MS = 60;
     /** How long before its client gives up any answer must go out. */
     private static final double LAST_ANSWER_MARGIN_MS = 15;
+    private static final double LATE_ANSWER_LOG_INTERVAL_MS = 100;
 
     private final Map<Long, OpenRequest> byId = new LinkedHashMap<>();
     private final Map<Caller, OpenRequest> unanswered = new LinkedHashMap<>();
@@ -31,6 +32,8 @@
     private Attempts attempts;
     private int maxCallers;
     private int refusedForMemory;
+    private int answeredLate;
+    private double lateAnswerLoggedAt = Double.NEGATIVE_INFINITY;
     private boolean refusing;
     /** When this process ends, even if requests are open then. */
     private double shutdownAt = Double.POSITIVE_INFINITY;
@@ -90,6 +93,7 @@
         out.put("held.ordering-keys", orderingKeys.size());
         out.put("held.request-bytes", (int) memory.totalBytes());
         out.put("requests.refused_for_memory", refusedForMemory);
+        out.put("answers.late", answeredLate);
     }
 
     /**
@@ -302,11 +306,29 @@
             context.trace(() -> "request " + request.query.txn() + " of " + request.spec.name() + ": "
                     + reply.getClass().getSimpleName() + " after " + request.attempts.size() + " attempts"
                     + request.attempts.stream().map(a -> " " + a.outcome).toList());
+            countIfLate(request, reply);
             reply(request.caller, request.query.classNumber(), reply);
             close(request);
         }
     }
 
+    /** An answer after its client's time is of no use, and shows that this process did not get to its work in time. */
+    private void countIfLate(OpenRequest request, Reply reply) {
+        double lateByMs = context.now - request.answerDeadline - LAST_ANSWER_MARGIN_MS;
+        if (lateByMs <= 0) {
+            return;
+        }
+        answeredLate++;
+        if (context.now - lateAnswerLoggedAt >= LATE_ANSWER_LOG_INTERVAL_MS) {
+            lateAnswerLoggedAt = context.now;
+            context.addEffect(new Effect.Log("request " + request.query.txn() + " of " + request.spec.name() + ": "
+                    + reply.getClass().getSimpleName() + " " + Math.round(lateByMs) + " ms after its time, opened "
+                    + Math.round(context.now - request.openedAt) + " ms ago with " + Math.round(request.answerDeadline
+                    - request.openedAt) + " ms left, attempts " + request.attempts.stream().map(a -> a.outcome
+                    + " after " + Math.round((a.outcome == null ? context.now : a.endedAt) - a.createdAt) + " ms").toList()));
+        }
+    }
+
     /** The only place where answers go out and are counted. */
     private void reply(Caller caller, int classNumber, Reply reply) {
         metrics.answered(classNumber, reply instanceof Reply.Served ? MetricsRecorder.FinalAnswer.ANSWERED
--- a/frontend/src/main/java/quincespar/transport/EventLoop.java
+++ b/frontend/src/main/java/quincespar/transport/EventLoop.java
@@ -48,6 +48,9 @@
     private final ByteBuffer readBuffer = ByteBuffer.allocateDirect(READ_BUFFER_BYTES);
     private final byte[] readBytes = new byte[READ_BUFFER_BYTES];
     private final Thread thread;
+    private final DurationStats passes = new DurationStats();
+    /** When the current pass began; {@link System#nanoTime}. */
+    private long passStartedAt;
     private volatile boolean stopped;
 
     /** Creates a loop that is not yet started; throws {@link IOException} if no selector can be opened. */
@@ -67,6 +70,11 @@
         selector.wakeup();
     }
 
+    /** The times from one select to the next: while a pass lasts, nothing that becomes readable is noticed. */
+    public DurationStats passes() {
+        return passes;
+    }
+
     /** Runs a task on the loop's thread; tasks run in the order in which they were added. */
     public void execute(Runnable task) {
         tasks.add(task);
@@ -117,18 +125,13 @@
     }
 
     private void run() {
+        passStartedAt = System.nanoTime();
         while (!stopped) {
             try {
                 wakeupPending.set(false);
                 runTasks();
-                long timeoutMs = selectTimeoutMs();
-                if (timeoutMs < 0) {
-                    selector.select(this::ready);
-                } else if (timeoutMs == 0) {
-                    selector.selectNow(this::ready);
-                } else {
-                    selector.select(this::ready, timeoutMs);
-                }
+                passes.addSince(passStartedAt);
+                select();
             } catch (ClosedSelectorException e) {
                 log.error("event loop {}: the selector is closed; the loop stops", name, e);
                 stopped = true;
@@ -141,6 +144,26 @@
         }
     }
 
+    /** Waits for channels that are ready, and handles them; a pass begins with the first. */
+    private void select() throws IOException {
+        long timeoutMs = selectTimeoutMs();
+        passStartedAt = 0;
+        if (timeoutMs < 0) {
+            selector.select(this::ready);
+        } else if (timeoutMs == 0) {
+            selector.selectNow(this::ready);
+        } else {
+            selector.select(this::ready, timeoutMs);
+        }
+        beginPass();
+    }
+
+    private void beginPass() {
+        if (passStartedAt == 0) {
+            passStartedAt = System.nanoTime();
+        }
+    }
+
     private void runTasks() {
         for (Runnable task = tasks.poll(); task != null; task = tasks.poll()) {
             task.run();
@@ -164,6 +187,7 @@
     }
 
     private void ready(SelectionKey key) {
+        beginPass();
         ChannelHandler handler = (ChannelHandler) key.attachment();
         try {
             handler.ready(key);
