--- a/frontend/src/test/java/quincespar/program/FloodedFrontEnd.java
+++ b/frontend/src/test/java/quincespar/program/FloodedFrontEnd.java
@@ -29,13 +29,18 @@
 
     /** Starts the program with an engine that answers lookups only; returns its port. */
     final int start() throws Exception {
+        return start("");
+    }
+
+    /** As {@link #start()}, after the shell commands {@code first}. */
+    final int start(String first) throws Exception {
         ScriptedPeers.Engine engine = new ScriptedPeers.Engine();
         int port = ScriptedPeers.freePort();
         int admin = ScriptedPeers.freePort();
         Path file = Files.writeString(folder.resolve("config.json"), ScriptedPeers.configuration(port,
                 new ScriptedPeers.ChangeLog(), engine, ScriptedPeers.LOOKUP, ScriptedPeers.LOAD)
                 .replace("\"sockets\":64", "\"sockets\":4096,\"memory_mb\":192"));
-        process = ScriptedPeers.startProcess("", file, admin, Files.createDirectory(folder.resolve("tmp")),
+        process = ScriptedPeers.startProcess(first, file, admin, Files.createDirectory(folder.resolve("tmp")),
                 folder.resolve("log"));
         ScriptedPeers.awaitReady(admin);
         ScriptedPeers.runAsync(() -> answerLookups(engine));
