Send nothing for a client whose input is not all read, as its end may be among it

What callers saw: a client that wrote 300 KB of loads and closed its connection, while the process was paused, had its first loads sent to an engine afterwards.

Cause: one pass reads 64 KB of a connection at most, and what it brought was handed on at once. The client's end lies behind the rest, so nothing told the reducer that it had left. Class: a partial view of a connection taken for all of it.

Change: a pass says whether all was read. While it was not, requests of the connection wait before they reach the scheduler (as those that wait for the disk or a key), and an attempt that has not been written waits with its link. After 100 ms attempts without a first byte are withdrawn and their requests refused, later ones at once, until all is read. The scheduler sees such attempts as moot, so no engine is blamed.

Two tests of the reducer with the new inputs.

--- a/frontend/src/main/java/quincespar/program/clients/ThriftServer.java
+++ b/frontend/src/main/java/quincespar/program/clients/ThriftServer.java
@@ -223,6 +223,8 @@
         private final AtomicInteger answersInProgress = new AtomicInteger();
         /** Inputs of the current read pass: posted at its end, or dropped if the client has disconnected by then. */
         private final List<Input> pending = new ArrayList<>();
+        /** Whether the last pass has left input unread, as the reducer has been told. */
+        private boolean inputUnread;
         private int lastSeqid;
         /** When the bytes that are being decoded arrived. */
         private double receivedAt;
@@ -300,7 +302,8 @@
         }
 
         @Override
-        public void readComplete() {
+        public void readComplete(boolean allRead) {
+            reportUnreadInput(!allRead);
             if (!pending.isEmpty()) {
                 post.accept(List.copyOf(pending));
                 pending.clear();
@@ -310,6 +313,16 @@
             }
         }
 
+        /** Tells the reducer, before and after what was read while there was more, whether there is more to read. */
+        private void reportUnreadInput(boolean unread) {
+            if (unread && !inputUnread) {
+                pending.add(0, new Input.CallerInputUnread(number));
+            } else if (!unread && inputUnread) {
+                pending.add(new Input.CallerInputRead(number));
+            }
+            inputUnread = unread;
+        }
+
         @Override
         public boolean busy() {
             return !allAnswersQueued()
@@ -318,7 +331,8 @@
 
         @Override
         public void idleCloseDeclined() {
-            post.accept(List.of(new Input.CallerNotClosed(number)));
+            post.accept(inputUnread ? List.of(new Input.CallerNotClosed(number), new Input.CallerInputUnread(number))
+                    : List.of(new Input.CallerNotClosed(number)));
         }
 
         @Override
--- a/frontend/src/main/java/quincespar/routing/Attempt.java
+++ b/frontend/src/main/java/quincespar/routing/Attempt.java
@@ -15,6 +15,8 @@
     /** If no byte of it has been written by then, it is withdrawn. */
     final double startDeadline;
     final WithdrawableWrite write = new WithdrawableWrite();
+    /** It is written only once all input of its client's connection has been read. */
+    boolean awaitingInput;
     /** Null where it was never assigned to a link. */
     Link link;
     /** How it ended; null while it is open. */
--- a/frontend/src/main/java/quincespar/routing/Attempts.java
+++ b/frontend/src/main/java/quincespar/routing/Attempts.java
@@ -90,6 +90,10 @@
             context.addEffect(new Effect.Log("ignored an invalid action of the decision module: " + action));
             return;
         }
+        if (requests.inputUnreadTooLong(request)) {
+            requests.refuseUnlessRunning(request);
+            return;
+        }
         double timeoutAt = action.timeout() > 0 ? Math.min(request.deadline, context.now + action.timeout()) : request.deadline;
         Attempt attempt = new Attempt(request, request.attempts.size(), action.engine(), context.now, timeoutAt,
                 request.startDeadline() - context.settings.decision().tick());
@@ -121,6 +125,14 @@
             withdraw(attempt, Outcome.CONNECT_FAILED);
             return;
         }
+        attempt.awaitingInput = requests.inputUnread(attempt.request);
+        if (attempt.awaitingInput) {
+            if (requests.inputUnreadTooLong(attempt.request)) {
+                withdraw(attempt, Outcome.MOOT);
+                requests.refuseUnlessRunning(attempt.request);
+            }
+            return;
+        }
         Query query = attempt.request.query;
         String engine = attempt.link.engine.listed.id();
         counters.countAtEngine(engine, "sent");
@@ -131,6 +143,15 @@
                 query.statement(), attempt.write));
     }
 
+    /** All input of a request's connection has been read: attempts that waited for that are written. */
+    void writeAwaitingInput(OpenRequest request) {
+        for (Attempt attempt : List.copyOf(request.attempts)) {
+            if (attempt.awaitingInput && attempt.outcome == null && attempt.link.up) {
+                write(attempt);
+            }
+        }
+    }
+
     /** An attempt does not fit into the outbox of its link: it ends alone, and the link takes no new ones. */
     void rejected(Attempt attempt) {
         if (attempt != null && attempt.outcome == null) {
--- a/frontend/src/main/java/quincespar/routing/CallerConnections.java
+++ b/frontend/src/main/java/quincespar/routing/CallerConnections.java
@@ -12,6 +12,10 @@
     static final class CallerConnection {
         final long id;
         final Set<OpenRequest> open = new LinkedHashSet<>();
+        /** Whether not all of its input has been read, so that its client may have left without that being known. */
+        boolean inputUnread;
+        /** Whether that has lasted so long that its requests are refused. */
+        boolean inputUnreadTooLong;
 
         CallerConnection(long id) {
             this.id = id;
--- a/frontend/src/main/java/quincespar/routing/Input.java
+++ b/frontend/src/main/java/quincespar/routing/Input.java
@@ -30,6 +30,12 @@
         }
     }
 
+    /** A client's connection has more input than was read in one pass; its cancels or its end may be among the rest. */
+    record CallerInputUnread(long connection) implements Input { }
+
+    /** All input of a client's connection has been read, and it had not ended. */
+    record CallerInputRead(long connection) implements Input { }
+
     /** A client has cancelled one request. */
     record RequestCancelled(Caller caller) implements Input { }
 
--- a/frontend/src/main/java/quincespar/routing/OpenRequest.java
+++ b/frontend/src/main/java/quincespar/routing/OpenRequest.java
@@ -26,6 +26,8 @@
     boolean awaitingDisk;
     /** It waits for its key, which another process of this front end may have. */
     boolean awaitingKey;
+    /** It waits until all input of its connection has been read, which may hold its cancel or its client's end. */
+    boolean awaitingInput;
     /** The decision module has been told of it. */
     boolean reported;
     /** The priority of its next attempts at engines, from 0 to 3. */
@@ -62,6 +64,11 @@
                 .min().orElse(Double.POSITIVE_INFINITY);
     }
 
+    /** Whether anything but an earlier request of its key keeps it from the decision module. */
+    boolean awaiting() {
+        return awaitingDisk || awaitingKey || awaitingInput;
+    }
+
     boolean running() {
         return attempts.stream().anyMatch(a -> a.outcome == null);
     }
--- a/frontend/src/main/java/quincespar/routing/Reducer.java
+++ b/frontend/src/main/java/quincespar/routing/Reducer.java
@@ -190,6 +190,10 @@
             links.down(i.link(), i.cause());
         } else if (input instanceof Input.PartialMessage i) {
             links.partialMessage(i.link(), i.pending());
+        } else if (input instanceof Input.CallerInputUnread i) {
+            requests.inputUnread(i.connection());
+        } else if (input instanceof Input.CallerInputRead i) {
+            requests.inputRead(i.connection());
         } else if (input instanceof Input.RequestCancelled i) {
             requests.cancelled(i.caller());
         } else if (input instanceof Input.CallerDisconnected i) {
@@ -280,6 +284,8 @@
             links.partialMessageTimedOut(k.link());
         } else if (key instanceof TimerKey.CallerIdle k) {
             requests.callerIdle(k.connection());
+        } else if (key instanceof TimerKey.CallerInputUnread k) {
+            requests.inputUnreadTooLong(k.connection());
         } else if (key instanceof TimerKey.ProbeTimeout k) {
             links.probeEnded(k.tag(), false, List.of());
         } else if (key instanceof TimerKey.ChangeLogTimer k) {
--- a/frontend/src/main/java/quincespar/routing/Requests.java
+++ b/frontend/src/main/java/quincespar/routing/Requests.java
@@ -14,6 +14,8 @@
     private static final double DELIVERY_MARGIN_MS = 60;
     /** How long before its client gives up any answer must go out. */
     private static final double LAST_ANSWER_MARGIN_MS = 15;
+    /** No attempt may begin for longer than this after its client has left, which unread input may hide. */
+    private static final double MAX_INPUT_UNREAD_MS = 100;
     private static final double LATE_ANSWER_LOG_INTERVAL_MS = 100;
 
     private final Map<Long, OpenRequest> byId = new LinkedHashMap<>();
@@ -147,6 +149,7 @@
 
     void callerDisconnected(long connection) {
         context.stopTimer(new TimerKey.CallerIdle(connection));
+        context.stopTimer(new TimerKey.CallerInputUnread(connection));
         CallerConnections.CallerConnection removed = connections.remove(connection);
         if (removed != null) {
             List.copyOf(removed.open).forEach(r -> cancelled(r.caller));
@@ -166,6 +169,7 @@
             return;
         }
         OpenRequest request = open(input);
+        request.awaitingInput = inputUnread(request);
         request.awaitingDisk = recovery.persists(request);
         if (request.awaitingDisk) {
             recovery.persistStart(request);
@@ -187,7 +191,8 @@
 
     /** After how long the client of a request that must be refused may try again; NaN where it may be opened. */
     private double refusalRetryAfterMs(Input.RequestReceived input) {
-        if (refusing || unanswered.size() >= bounds.maxRequests()) {
+        CallerConnections.CallerConnection connection = connections.get(input.caller().connection());
+        if (refusing || unanswered.size() >= bounds.maxRequests() || connection != null && connection.inputUnreadTooLong) {
             return 0;
         }
         if (!memory.fits(input.caller().connection(), input.query())) {
@@ -243,11 +248,11 @@
         }
     }
 
-    /** Tells the decision module of a request, unless that, or an earlier one of its key, waits for the disk or the key. */
+    /** Tells the decision module of a request, unless that, or an earlier one of its key, waits for something. */
     private void tellModuleWhenDue(OpenRequest request) {
         if (request.orderingKey != null) {
             tellModuleInOrder(request.orderingKey);
-        } else if (!request.awaitingDisk) {
+        } else if (!request.awaiting() && !request.reported) {
             tellModule(request);
         }
     }
@@ -255,7 +260,7 @@
     /** Tells the decision module of the requests of a key in the order of arrival, up to the first that must wait. */
     private void tellModuleInOrder(OrderingKeys.OrderingKey key) {
         for (OpenRequest request : key.requests) {
-            if (request.awaitingDisk || request.awaitingKey) {
+            if (request.awaiting()) {
                 return;
             }
             if (!request.reported && !request.closed) {
@@ -289,6 +294,69 @@
         }
     }
 
+    /**
+     * Not all input of a connection has been read: the cancel of a request, or the client's end, may be among the rest. Until
+     * {@link #inputRead} its requests wait, and so do attempts that have not begun.
+     */
+    void inputUnread(long id) {
+        CallerConnections.CallerConnection connection = connections.get(id);
+        if (connection != null && !connection.inputUnread) {
+            connection.inputUnread = true;
+            context.startTimer(new TimerKey.CallerInputUnread(id), MAX_INPUT_UNREAD_MS);
+        }
+    }
+
+    /** All input of a connection has been read. */
+    void inputRead(long id) {
+        CallerConnections.CallerConnection connection = connections.get(id);
+        if (connection == null || !connection.inputUnread) {
+            return;
+        }
+        connection.inputUnread = false;
+        connection.inputUnreadTooLong = false;
+        context.stopTimer(new TimerKey.CallerInputUnread(id));
+        for (OpenRequest request : List.copyOf(connection.open)) {
+            request.awaitingInput = false;
+            tellModuleWhenDue(request);
+            attempts.writeAwaitingInput(request);
+        }
+    }
+
+    /** A client sends more than can be read: what has not begun is refused, as nobody can tell how long it would wait. */
+    void inputUnreadTooLong(long id) {
+        CallerConnections.CallerConnection connection = connections.get(id);
+        if (connection == null || !connection.inputUnread) {
+            return;
+        }
+        connection.inputUnreadTooLong = true;
+        context.addEffect(new Effect.Log("connection " + id + ": its client sends more than is read, requests open: "
+                + connection.open.size()));
+        for (OpenRequest request : List.copyOf(connection.open)) {
+            attempts.withdrawAll(request);
+            refuseUnlessRunning(request);
+        }
+    }
+
+    /** Answers a request of which no attempt may begin, unless one has begun, whose result is its answer. */
+    void refuseUnlessRunning(OpenRequest request) {
+        if (!request.closed && !request.running()) {
+            answer(request, request.refusable() ? new Reply.Refused(0) : new Reply.Failed());
+            tellModuleClosed(request);
+        }
+    }
+
+    /** Whether not all input of a request's connection has been read. */
+    boolean inputUnread(OpenRequest request) {
+        CallerConnections.CallerConnection connection = connections.get(request.caller.connection());
+        return connection != null && connection.inputUnread;
+    }
+
+    /** Whether that has lasted for so long that no attempt of the request may begin. */
+    boolean inputUnreadTooLong(OpenRequest request) {
+        CallerConnections.CallerConnection connection = connections.get(request.caller.connection());
+        return connection != null && connection.inputUnreadTooLong;
+    }
+
     /** The client has cancelled a request, or has disconnected. */
     void cancelled(Caller caller) {
         OpenRequest request = unanswered.get(caller);
--- a/frontend/src/main/java/quincespar/routing/TimerKey.java
+++ b/frontend/src/main/java/quincespar/routing/TimerKey.java
@@ -11,6 +11,9 @@
     /** A client's connection has had no open request for too long, or has not yet sent one. */
     record CallerIdle(long connection) implements TimerKey { }
 
+    /** The input of a client's connection has been unread for too long. */
+    record CallerInputUnread(long connection) implements TimerKey { }
+
     /** A message that has arrived in part on a link must be complete by now. */
     record PartialMessage(long link) implements TimerKey { }
 
--- a/frontend/src/main/java/quincespar/transport/Connection.java
+++ b/frontend/src/main/java/quincespar/transport/Connection.java
@@ -32,8 +32,12 @@
         /** Bytes were received; the array is reused after the call. */
         void received(byte[] bytes, int count);
 
-        /** All readable bytes of this pass have been delivered, and the peer has not closed the connection after them. */
-        default void readComplete() { }
+        /**
+         * What was read in this pass has been delivered, and no end of the connection was found after it.
+         *
+         * @param allRead whether nothing more was readable; otherwise more input may follow, and the peer's end behind it
+         */
+        default void readComplete(boolean allRead) { }
 
         /** Whether a request is open on the connection, as far as the owner has decoded what it received. */
         default boolean busy() {
@@ -483,6 +487,7 @@
     private boolean receive(boolean notify) {
         boolean received = false;
         boolean interrupted = false;
+        boolean allRead = false;
         for (int i = 0; i < MAX_READS_PER_PASS; i++) {
             int n;
             try {
@@ -496,6 +501,7 @@
                 return received;
             }
             if (n == 0) {
+                allRead = true;
                 break;
             }
             interrupted |= n < 0;
@@ -508,7 +514,7 @@
             }
         }
         if (received) {
-            handler.readComplete();
+            handler.readComplete(allRead);
         } else if (interrupted && notify) {
             handler.idleCloseDeclined(); // there may be unread bytes
         }
--- a/frontend/src/test/java/quincespar/program/ScriptedPeers.java
+++ b/frontend/src/test/java/quincespar/program/ScriptedPeers.java
@@ -130,6 +130,11 @@
         p.destroy();
     }
 
+    /** The command line ends with exec, so the signal reaches the program; the exit code is ignored as it may just have ended. */
+    static void signal(Process p, String name) throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-" + name, Long.toString(p.pid())).redirectErrorStream(true).start().waitFor();
+    }
+
     /** What a scripted peer does with one connection. */
     interface Script {
         void play(Socket socket) throws IOException;
--- a/frontend/src/test/java/quincespar/program/UpgradeIT.java
+++ b/frontend/src/test/java/quincespar/program/UpgradeIT.java
@@ -251,7 +251,7 @@
             load.call(1, request);
             engine.next("serve"); // never answered
             dropLoads();
-            signal(old, "HUP");
+            ScriptedPeers.signal(old, "HUP");
             while (!load.counters().get("configurations.taken").equals("1")) {
                 ScriptedPeers.spin();
             }
@@ -312,7 +312,7 @@
             long readyAt = System.nanoTime();
             boolean before = oldProcessPauses[i].phase().equals("before SIGTERM");
             if (before) {
-                signal(old, "STOP");
+                ScriptedPeers.signal(old, "STOP");
             }
             loadMs = 2 * KILL_MS; // loads accepted from here on are open until their deadline
             ScriptedPeers.terminate(old); // a paused process handles it when it continues
@@ -320,7 +320,7 @@
             Future<?> other = newProcessPauses[i].phase().equals("ready") ? pauseAsync(next, readyAt, newProcessPauses[i]) : null;
             if (before) {
                 sleepUntil(termAt, oldProcessPauses[i].ms());
-                signal(old, "CONT");
+                ScriptedPeers.signal(old, "CONT");
             } else {
                 sleepUntil(termAt, oldProcessPauses[i].after());
                 pause(old, 0, oldProcessPauses[i].ms());
@@ -368,17 +368,12 @@
     private static void pause(Process p, int after, int ms) throws IOException, InterruptedException {
         TimeUnit.MILLISECONDS.sleep(after);
         if (p.isAlive()) {
-            signal(p, "STOP");
+            ScriptedPeers.signal(p, "STOP");
             TimeUnit.MILLISECONDS.sleep(ms);
-            signal(p, "CONT");
+            ScriptedPeers.signal(p, "CONT");
         }
     }
 
-    /** The command line ends with exec, so the signal reaches the program; the exit code is ignored as it may just have ended. */
-    private static void signal(Process p, String name) throws IOException, InterruptedException {
-        new ProcessBuilder("kill", "-" + name, Long.toString(p.pid())).redirectErrorStream(true).start().waitFor();
-    }
-
     /**
      * A client that nearly always has open requests on its connection. Requests without an answer when the connection is closed
      * count as lost if a later one was answered, or if they are more than can cross the close.
--- a/frontend/src/test/java/quincespar/routing/ReducerTest.java
+++ b/frontend/src/test/java/quincespar/routing/ReducerTest.java
@@ -136,6 +136,47 @@
         assertThat(lastOutcome()).isEqualTo(Outcome.OK);
     }
 
+    /** Guards against an attempt for a client whose end is among its unread input. */
+    @Test
+    void nothingIsSentForAConnectionUntilAllOfItsInputIsRead() {
+        Effect.Send warm = sendRequest(SAFE_CLASS);
+        beginWrite(warm);
+        step(done(warm, 1));
+        Caller caller = new Caller(1, 2);
+        step(new Input.CallerInputUnread(1), request(caller, "00000000000000bb", now));
+        decide();
+        assertThat(of(Scheduler.Request.class, events)).hasSize(1);
+        step(new Input.CallerInputRead(1));
+        decide();
+        assertThat(of(Scheduler.Request.class, events)).hasSize(2);
+    }
+
+    /** Guards against a retry that begins while the end of its client is among its unread input. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void anAttemptWaitsForUnreadInputAndIsWithdrawnIfThatTakesTooLong(boolean tooLong) {
+        Effect.Send warm = sendRequest(SAFE_CLASS);
+        beginWrite(warm);
+        step(done(warm, 1));
+        Caller caller = new Caller(1, 2);
+        step(request(caller, "00000000000000bb", now));
+        decide();
+        long second = last(Scheduler.Request.class, events).id();
+        step(new Input.CallerInputUnread(1));
+        plannedActions.add(new Scheduler.SendAttempt(second, engine(0), 0));
+        decide();
+        assertThat(of(Effect.Send.class, effects)).hasSize(1);
+        step(tooLong ? new Input.TimerFired(new TimerKey.CallerInputUnread(1)) : new Input.CallerInputRead(1));
+        assertThat(of(Effect.Send.class, effects)).hasSize(tooLong ? 1 : 2);
+        decide();
+        if (tooLong) {
+            assertThat(last(Effect.Answer.class)).isEqualTo(new Effect.Answer(caller, new Reply.Refused(0)));
+            assertThat(lastOutcome()).isEqualTo(Outcome.MOOT);
+            step(request(new Caller(1, 3), "00000000000000cc", now));
+            assertThat(last(Effect.Answer.class).caller()).isEqualTo(new Caller(1, 3));
+        }
+    }
+
     /** Killed with requests open, the process would leave them unanswered. */
     @Test
     void openAndNewRequestsAreAnsweredBeforeAScheduledShutdown() {
--- a/frontend/src/test/java/quincespar/transport/ConnectionTest.java
+++ b/frontend/src/test/java/quincespar/transport/ConnectionTest.java
@@ -293,7 +293,7 @@
                 }
 
                 @Override
-                public void readComplete() {
+                public void readComplete(boolean allRead) {
                     callbacks.add("read complete");
                 }
 
