Limit the messages of a client's connection, and answer 16 health calls a step at most

Cause: what was let in was counted in units that say nothing of its cost, and at the last bound the work was done at once. A pass of 64 KB brought 2,400 health calls and took 256 permits of the input queue, so 20,000 were let in; beyond 65,536 waiting calls HealthCalls.next returned all of the excess, 16,000 to 18,700 in one step, each with a hundred counters encoded anew: 834 ms on the reducer's thread. Nothing slowed the sender down, and lookups, engines' answers, timers and the change log waited behind it. Class: a limit that makes others pay, in place of the sender.

Change: a connection has a rate of its own (settings clients messages, 50 a second, 128 at once; served requests don't count); beyond it all connections share 1,000 a second (clients shared-messages). What may not begin is left undecoded and the connection unread for 10 ms, so that TCP slows its client; nothing is dropped. At most 64 messages a pass and 64 open health calls a connection; a step answers 16 at most, and their answer is encoded once.

Why it holds: the work that connections can cause per second is now bounded by their number and one shared rate, whatever they send, and each pass and step is bounded as well.

--- a/frontend/src/main/java/quincespar/program/FrontEnd.java
+++ b/frontend/src/main/java/quincespar/program/FrontEnd.java
@@ -160,7 +160,8 @@
         }
         listener = new Listener(clientLoop, c.listen(), true);
         thriftServer = new ThriftServer(clientLoop, listener, c.site(), (int) (c.sockets() * CLIENT_SHARE),
-                bounds.firstRequestMs(), clock, counters, inputs::addFromPeer, this::allCounters);
+                bounds.firstRequestMs(), settings.count(Keyword.CLIENTS_MESSAGE_RATE),
+                settings.count(Keyword.CLIENTS_SHARED_MESSAGE_RATE), clock, counters, inputs::addFromPeer, this::allCounters);
         fleetService = fleet == null ? null : new FleetService(fleet, c.name(), c.admin() == null ? "" : c.admin().getHostString()
                 + ":" + c.admin().getPort(), Version.text(), clock::now,
                 line -> log.info("{}: {}", c.name(), line),
--- a/frontend/src/main/java/quincespar/program/clients/HealthCalls.java
+++ b/frontend/src/main/java/quincespar/program/clients/HealthCalls.java
@@ -8,13 +8,12 @@
 
 /**
  * Health calls that are not answered yet. Each step of the reducer's thread answers a few, so that requests wait for no more
- * than that, however many health calls arrive. Used by one thread.
+ * than that, however many health calls arrive. Their number is bounded by connection, in {@link ThriftServer}. Used by one
+ * thread.
  */
 public final class HealthCalls {
     /** Answers per step. */
     static final int ANSWERS_PER_STEP = 16;
-    /** Beyond this many, 2 MB, the oldest are answered at once. */
-    static final int MAX_WAITING = 65_536;
 
     private final Queue<Caller> waiting = new ArrayDeque<>();
 
@@ -35,7 +34,7 @@
 
     /** Removes the calls to answer in this step, in the order of their arrival. */
     public List<Caller> next() {
-        int count = Math.min(waiting.size(), Math.max(ANSWERS_PER_STEP, waiting.size() - MAX_WAITING));
+        int count = Math.min(waiting.size(), ANSWERS_PER_STEP);
         List<Caller> next = new ArrayList<>(count);
         for (int i = 0; i < count; i++) {
             next.add(waiting.remove());
--- a/frontend/src/main/java/quincespar/program/clients/ThriftServer.java
+++ b/frontend/src/main/java/quincespar/program/clients/ThriftServer.java
@@ -2,6 +2,7 @@
 
 import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalInt;
@@ -60,6 +61,11 @@
     private static final int MAX_REASON_CHARACTERS = 200;
     /** Pause between two reads of a connection whose input is discarded. It bounds what a client that sends on can cost. */
     private static final long DISCARD_PAUSE_MS = 5;
+    /** Messages of one connection that are handled in one pass, so that other connections wait for no more than that. */
+    private static final int MAX_MESSAGES_PER_PASS = 64;
+    private static final int MAX_OPEN_HEALTH_CALLS = 64;
+    /** How long a connection that may send no further message now is left unread. */
+    private static final long EXCESS_PAUSE_MS = 10;
     /** Outbox limit of a connection: room for an answer of maximum length to each open request. */
     private static final int OUTBOX_BYTES = MAX_OPEN_REQUESTS * 50_000;
     /** Limit on all outboxes together. */
@@ -70,6 +76,7 @@
     private final Map<Long, Session> sessions = new ConcurrentHashMap<>();
     private final OutboxLimit outboxLimit = new OutboxLimit(OUTBOX_BYTES, TOTAL_OUTBOX_BYTES);
     private final FrameMemory frameMemory = new FrameMemory(TOTAL_PARTIAL_FRAME_BYTES);
+    private final MessageLimits messageLimits;
     private final AtomicLong connectionNumbers = new AtomicLong();
     /** Settings by which requests are decoded; replaced as a whole. */
     private volatile RoutingSettings settings;
@@ -91,13 +98,15 @@
      *
      * @param connectionLimit how many connections may be open
      * @param requestReadTimeoutMs time after which a partly received request no longer keeps its connection busy
+     * @param messagesPerSecond of one connection; beyond it, all connections share {@code sharedMessagesPerSecond}
      * @param post receives the inputs that were read in one pass of a connection, to be handled in one batch
      * @param healthFields the fields of an answer to a health call
      */
     public ThriftServer(EventLoop loop, Listener listener, RoutingSettings settings, int connectionLimit,
-            double requestReadTimeoutMs, Clock clock, Counters counters, Consumer<List<Input>> post,
+            double requestReadTimeoutMs, double messagesPerSecond, double sharedMessagesPerSecond, Clock clock, Counters counters, Consumer<List<Input>> post,
             Supplier<Map<String, String>> healthFields) {
         this.requestReadTimeoutMs = requestReadTimeoutMs;
+        messageLimits = new MessageLimits(messagesPerSecond, sharedMessagesPerSecond);
         this.loop = loop;
         this.listener = listener;
         this.settings = settings;
@@ -189,6 +198,7 @@
         }
         byte[] frame;
         if (reply instanceof Reply.Served r) {
+            session.allowance.giveBack();
             frame = FrontCodec.answer("call", caller.call(), r.result(), Map.of(), true);
         } else if (reply instanceof Reply.Refused r) {
             frame = FrontCodec.busy(caller.call(), r.retryAfterMs() > 0
@@ -201,11 +211,11 @@
 
     @Override
     public void health(List<Caller> callers, boolean ready) {
-        Map<String, String> fields = healthFields.get(); // once for all, as they take longer than the rest of an answer
+        byte[] answer = FrontCodec.answer("health", UNKNOWN_SEQID, new byte[0], healthFields.get(), ready);
         for (Caller caller : callers) {
             Session session = sessions.get(caller.connection());
             if (session != null) {
-                session.sendHealth(FrontCodec.answer("health", caller.call(), new byte[0], fields, ready));
+                session.sendHealth(FrontCodec.withSeqid(answer, caller.call()));
             }
         }
     }
@@ -223,8 +233,18 @@
         private final AtomicInteger answersInProgress = new AtomicInteger();
         /** Inputs of the current read pass: posted at its end, or dropped if the client has disconnected by then. */
         private final List<Input> pending = new ArrayList<>();
+        private final MessageLimits.Allowance allowance = messageLimits.forConnection();
+        /** What was read and is not decoded yet, because no further message may begin; reading is paused meanwhile. */
+        private byte[] undecoded = {};
+        private int messagesInPass;
+        /** Whether messages of this pass may begin beyond the rates. */
+        private boolean rateSuspended;
+        /** For how long reading is paused because of the last message that might not begin. */
+        private long excessPauseMs;
         /** Whether the last pass has left input unread, as the reducer has been told. */
         private boolean inputUnread;
+        /** Since when there has been unread input; what is read meanwhile may have arrived then. */
+        private double unreadSince;
         private int lastSeqid;
         /** When the bytes that are being decoded arrived. */
         private double receivedAt;
@@ -287,18 +307,60 @@
                 counters.add(Counters.Count.CALLERS_DISCARDED_BYTES, count);
                 return;
             }
-            receivedAt = clock.now();
+            decode(bytes, count);
+        }
+
+        private void decode(byte[] bytes, int count) {
+            receivedAt = inputUnread ? unreadSince : clock.now();
             boolean startsMessage = !frames.hasPartialMessage();
             try {
-                frames.feed(bytes, count, this);
+                int decoded = frames.feed(bytes, 0, count, this);
+                undecoded = Arrays.copyOfRange(bytes, decoded, count);
             } catch (MalformedException e) {
                 reject(UNKNOWN_SEQID, FrontCodec.INVALID_MESSAGE_TYPE, e.getMessage());
                 endOnceAnswered();
             }
             if (ending) {
                 frames.reset();
+                undecoded = new byte[0];
             }
             requestStartedAt = startsMessage ? receivedAt : requestStartedAt;
+            if (undecoded.length > 0) {
+                connection.pauseReading(excessPauseMs);
+            }
+        }
+
+        /** A message may begin once those before it leave room: in this pass, among the open health calls, and in the rates. */
+        @Override
+        public boolean acceptsFrame() {
+            if (messagesInPass >= MAX_MESSAGES_PER_PASS) {
+                excessPauseMs = 0;
+                return false;
+            }
+            boolean allowed = rateSuspended || allowance.take(clock.now());
+            if (openHealthCalls.get() >= MAX_OPEN_HEALTH_CALLS || !allowed) {
+                counters.count(Counters.Count.CALLERS_PAUSED);
+                excessPauseMs = EXCESS_PAUSE_MS;
+                return false;
+            }
+            messagesInPass++;
+            return true;
+        }
+
+        /** One more pass, whatever the rates are: a client whose messages always wait would else never count as idle. */
+        @Override
+        public void pauseCutShort() {
+            rateSuspended = true;
+            pauseEnded();
+            rateSuspended = false;
+        }
+
+        @Override
+        public void pauseEnded() {
+            if (undecoded.length > 0) {
+                decode(undecoded, undecoded.length);
+                readComplete(false);
+            }
         }
 
         @Override
@@ -308,6 +370,7 @@
                 post.accept(List.copyOf(pending));
                 pending.clear();
             }
+            messagesInPass = 0;
             if (ending) {
                 connection.pauseReading(DISCARD_PAUSE_MS);
             }
@@ -316,6 +379,7 @@
         /** Tells the reducer, before and after what was read while there was more, whether there is more to read. */
         private void reportUnreadInput(boolean unread) {
             if (unread && !inputUnread) {
+                unreadSince = receivedAt;
                 pending.add(0, new Input.CallerInputUnread(number));
             } else if (!unread && inputUnread) {
                 pending.add(new Input.CallerInputRead(number));
@@ -325,7 +389,7 @@
 
         @Override
         public boolean busy() {
-            return !allAnswersQueued()
+            return !allAnswersQueued() || undecoded.length > 0
                     || frames.hasPartialMessage() && clock.now() - requestStartedAt < requestReadTimeoutMs;
         }
 
--- a/frontend/src/main/java/quincespar/protocol/thrift/FrameDecoder.java
+++ b/frontend/src/main/java/quincespar/protocol/thrift/FrameDecoder.java
@@ -10,6 +10,11 @@
 public final class FrameDecoder {
     /** Receives what is found in the bytes, in their order. */
     public interface Receiver {
+        /** Whether a further frame may begin now; if not, the rest of the bytes is left to the caller. */
+        default boolean acceptsFrame() {
+            return true;
+        }
+
         /** A complete frame's content. */
         void frame(byte[] content);
 
@@ -48,19 +53,21 @@
     }
 
     /**
-     * Feeds {@code count} bytes. Throws {@link MalformedException} if a length is negative: no further frame can be found then.
+     * Feeds the bytes up to {@code to}, and returns up to where they were taken: all of them, unless the receiver accepts no
+     * further frame. Throws {@link MalformedException} if a length is negative: no further frame can be found then.
      */
-    public void feed(byte[] bytes, int count, Receiver receiver) {
-        int offset = 0;
-        while (offset < count) {
-            offset += frame == null ? addToPrefix(bytes, offset, count) : addToFrame(bytes, offset, count, receiver);
+    public int feed(byte[] bytes, int from, int to, Receiver receiver) {
+        int offset = from;
+        while (offset < to && (received > 0 || receiver.acceptsFrame())) {
+            offset += frame == null ? addToPrefix(bytes, offset, to) : addToFrame(bytes, offset, to, receiver);
             if (received == PREFIX_BYTES) {
-                beginFrame(count - offset);
+                beginFrame(to - offset);
             }
             if (frame != null && received == PREFIX_BYTES + (long) frameLength) {
                 endFrame(receiver);
             }
         }
+        return offset;
     }
 
     /** Forgets the partly received frame. */
--- a/frontend/src/main/java/quincespar/protocol/thrift/FrontCodec.java
+++ b/frontend/src/main/java/quincespar/protocol/thrift/FrontCodec.java
@@ -43,6 +43,8 @@
     private static final int LIST = 15;
 
     private static final int MAX_NESTING_DEPTH = 8;
+    /** Behind the frame's length and the message's version and type. */
+    private static final int METHOD_LENGTH_OFFSET = 2 * Integer.BYTES;
 
     private FrontCodec() { }
 
@@ -241,6 +243,15 @@
         return out.frame();
     }
 
+    /** A message as it was encoded, under another sequence number. */
+    public static byte[] withSeqid(byte[] frame, int seqid) {
+        byte[] copy = frame.clone();
+        ByteBuffer out = ByteBuffer.wrap(copy);
+        int methodLength = out.getInt(METHOD_LENGTH_OFFSET);
+        out.putInt(METHOD_LENGTH_OFFSET + Integer.BYTES + methodLength, seqid);
+        return copy;
+    }
+
     /** Encodes a reply with the declared exception {@code Busy}. */
     public static byte[] busy(int seqid, Map<String, String> fields) {
         return declaredException(seqid, 1, fields);
--- a/frontend/src/main/java/quincespar/settings/Keyword.java
+++ b/frontend/src/main/java/quincespar/settings/Keyword.java
@@ -22,6 +22,11 @@
             "Closes a client's connection that has had no open request for this time."),
     CLIENTS_DESCRIPTOR_SHARE("clients", "share", Type.PERCENT, "38%", 1, 45,
             "Share of the file descriptors for clients' connections. A new connection beyond it closes an idle one."),
+    CLIENTS_MESSAGE_RATE("clients", "messages", Type.COUNT, "50", 1, 1_000_000,
+            "Messages per second of one connection, and 128 at once after a rest. Requests that are served do not count. What a"
+            + " client sends beyond that is taken from shared-messages, and else read later."),
+    CLIENTS_SHARED_MESSAGE_RATE("clients", "shared-messages", Type.COUNT, "1000", 1, 1_000_000,
+            "Messages per second of all connections together, beyond what each may send of its own."),
     LINKS_PER_ENGINE("links", "per-engine", Type.COUNT, "8", 1, 1000,
             "Maximum number of connections to one engine."),
     LINKS_REQUESTS_PER_LINK("links", "shared", Type.COUNT, "8", 1, 1000,
--- a/frontend/src/main/java/quincespar/transport/Connection.java
+++ b/frontend/src/main/java/quincespar/transport/Connection.java
@@ -39,6 +39,12 @@
          */
         default void readComplete(boolean allRead) { }
 
+        /** A pause in reading is over, and reading goes on unless it is paused again. */
+        default void pauseEnded() { }
+
+        /** A pause in reading ends early, as the connection is to be closed if nothing more is there; it may be paused again. */
+        default void pauseCutShort() { }
+
         /** Whether a request is open on the connection, as far as the owner has decoded what it received. */
         default boolean busy() {
             return false;
@@ -297,17 +303,33 @@
         }
     }
 
-    /** Reads nothing for a while, so that a peer whose input is of no use costs little. Call on the loop's thread only. */
+    /**
+     * Reads nothing for a while, and only what is readable in this pass if that is 0, so that a peer that sends too much costs
+     * little. Call on the loop's thread only.
+     */
     public void pauseReading(long pauseMs) {
         readingPaused = true;
         setInterest(SelectionKey.OP_READ, false);
         loop.after(pauseMs, this::resumeReading);
     }
 
+    private void cutPauseShort() {
+        readingPaused = false;
+        handler.pauseCutShort();
+        if (!readingPaused) {
+            setInterest(SelectionKey.OP_READ, true);
+        }
+    }
+
     private void resumeReading() {
         readingPaused = false;
-        setInterest(SelectionKey.OP_READ, true);
-        receiveRest();
+        if (phase() == Phase.OPEN) {
+            handler.pauseEnded();
+        }
+        if (!readingPaused) {
+            setInterest(SelectionKey.OP_READ, true);
+            receiveRest();
+        }
     }
 
     /** Ends the output after the last byte and closes after a delay: an immediate close could discard unread bytes. */
@@ -401,7 +423,10 @@
         if (phase() != Phase.OPEN) {
             return false; // already closing, or not yet open
         }
-        if (handler.busy() || hasUnsentData()) {
+        if (notify && readingPaused) {
+            cutPauseShort();
+        }
+        if (handler.busy() || hasUnsentData() || readingPaused) {
             if (notify) {
                 handler.idleCloseDeclined();
             }
@@ -496,7 +521,7 @@
         boolean received = false;
         boolean interrupted = false;
         boolean allRead = false;
-        for (int i = 0; i < MAX_READS_PER_PASS; i++) {
+        for (int i = 0; i < MAX_READS_PER_PASS && !readingPaused; i++) {
             int n;
             try {
                 n = channel.read(loop.buffer());
