Give engines and change log room of their own in the reducer's queue

Callers saw engines' answers late, and drains could be heard late.

Cause: one semaphore of 2,048 permits for what comes from clients and from servers. Class: a resource shared by two sides, of which one can use it up.

Change: 1,024 permits (2 MB) for each side. InputQueueTest.serversHaveRoomThoughClientsFillTheQueue fails with one semaphore for both, and holds now.

--- a/frontend/src/main/java/quincespar/program/FrontEnd.java
+++ b/frontend/src/main/java/quincespar/program/FrontEnd.java
@@ -161,7 +161,7 @@
         listener = new Listener(clientLoop, c.listen(), true);
         thriftServer = new ThriftServer(clientLoop, listener, c.site(), (int) (c.sockets() * CLIENT_SHARE),
                 bounds.firstRequestMs(), settings.count(Keyword.CLIENTS_MESSAGE_RATE),
-                settings.count(Keyword.CLIENTS_SHARED_MESSAGE_RATE), clock, counters, inputs::addFromPeer, this::allCounters);
+                settings.count(Keyword.CLIENTS_SHARED_MESSAGE_RATE), clock, counters, inputs::addFromClient, this::allCounters);
         fleetService = fleet == null ? null : new FleetService(fleet, c.name(), c.admin() == null ? "" : c.admin().getHostString()
                 + ":" + c.admin().getPort(), Version.text(), clock::now,
                 line -> log.info("{}: {}", c.name(), line),
@@ -174,8 +174,8 @@
                 return page != null ? CompletableFuture.completedFuture(page) : pages == null ? null : pages.page(method, path);
             });
         }
-        engines = new EngineLinks(engineLoop, c.site(), inputs::addFromPeer);
-        changeLogClient = new ChangeLogClient(engineLoop, inputs::addFromPeer);
+        engines = new EngineLinks(engineLoop, c.site(), inputs::addFromServer);
+        changeLogClient = new ChangeLogClient(engineLoop, inputs::addFromServer);
     }
 
     private KeyLocks openKeyLocks(Configuration c) {
--- a/frontend/src/main/java/quincespar/program/runtime/InputQueue.java
+++ b/frontend/src/main/java/quincespar/program/runtime/InputQueue.java
@@ -10,15 +10,16 @@
 import quincespar.transport.DurationStats;
 
 /**
- * The queue of inputs to the reducer's thread. Inputs from peers are bounded by their number and by the bytes of statements
- * and results in them: a thread that adds one blocks while the queue is full, so that it stops reading from its peers, and
- * clients that send faster than the reducer works can't fill the heap. Inputs from timers and from the program itself are
- * few and never block, and neither does the reducer's thread.
+ * The queue of inputs to the reducer's thread. Inputs from clients are bounded by their number and by the bytes of statements
+ * in them, and so are, apart from them, those of the servers (engines and change log): a thread that adds one blocks while its
+ * side's room is used up, so that it stops reading from its peers, and peers that send faster than the reducer works can't fill
+ * the heap or hold up the other side. Inputs from timers and from the program itself are few and never block, and neither does
+ * the reducer's thread.
  */
 public final class InputQueue {
-    /** Permits of the inputs from peers. */
-    private static final int PEER_PERMITS = 2048;
-    /** Each input takes a permit, and one more for each such part of its payload: together they bound the queue to 4 MB. */
+    /** Permits of the inputs from one side. */
+    private static final int PERMITS_PER_SIDE = 1024;
+    /** Each input takes a permit, and one more for each such part of its payload: together they bound a side to 2 MB. */
     private static final int PAYLOAD_BYTES_PER_PERMIT = 2048;
     /** What was read together takes at most so many permits, as it must be queued together. */
     private static final int MAX_PERMITS_PER_ENTRY = 256;
@@ -27,32 +28,38 @@
     /**
      * Inputs that are taken together.
      *
+     * @param side     whose permits they hold; null for inputs of the program itself
      * @param permits  what they hold while they are queued
      * @param queuedAt since when they wait; {@link System#nanoTime}
      */
-    private record QueuedInputs(List<Input> inputs, int permits, long queuedAt) { }
+    private record QueuedInputs(List<Input> inputs, Semaphore side, int permits, long queuedAt) { }
 
     private final BlockingQueue<QueuedInputs> queue = new LinkedBlockingQueue<>();
     private final DurationStats waits = new DurationStats();
-    private final Semaphore peerPermits = new Semaphore(PEER_PERMITS);
+    private final Semaphore clientPermits = new Semaphore(PERMITS_PER_SIDE);
+    private final Semaphore serverPermits = new Semaphore(PERMITS_PER_SIDE);
     private volatile Thread consumer;
 
     /** Adds an input of the program itself; never blocks. */
     public void add(Input input) {
-        queue.add(new QueuedInputs(List.of(input), 0, System.nanoTime()));
+        queue.add(new QueuedInputs(List.of(input), null, 0, System.nanoTime()));
     }
 
-    /** Adds an input from a peer; blocks while the queue is full. */
-    public void addFromPeer(Input input) {
-        addFromPeer(List.of(input));
+    /** Adds an input from an engine or the change log; blocks while there is no room for these. */
+    public void addFromServer(Input input) {
+        add(List.of(input), serverPermits);
     }
 
-    /** Adds inputs from a peer that must be taken in one batch, as they were read together; blocks while the queue is full. */
-    public void addFromPeer(List<Input> together) {
+    /** Adds inputs from a client that must be taken in one batch, as they were read together; blocks while there is no room. */
+    public void addFromClient(List<Input> together) {
+        add(together, clientPermits);
+    }
+
+    private void add(List<Input> together, Semaphore side) {
         long queuedAt = System.nanoTime();
         int permits = Thread.currentThread() == consumer ? 0 : permits(together);
-        peerPermits.acquireUninterruptibly(permits);
-        queue.add(new QueuedInputs(List.copyOf(together), permits, queuedAt));
+        side.acquireUninterruptibly(permits);
+        queue.add(new QueuedInputs(List.copyOf(together), side, permits, queuedAt));
     }
 
     private static int permits(List<Input> together) {
@@ -90,13 +97,13 @@
         entries.add(first);
         queue.drainTo(entries, MAX_BATCH_ENTRIES);
         List<Input> batch = new ArrayList<>(entries.size());
-        int permits = 0;
         for (QueuedInputs entry : entries) {
             batch.addAll(entry.inputs());
-            permits += entry.permits();
             waits.addSince(entry.queuedAt());
+            if (entry.side() != null) {
+                entry.side().release(entry.permits());
+            }
         }
-        peerPermits.release(permits);
         return batch;
     }
 }
--- a/frontend/src/test/java/quincespar/program/runtime/InputQueueTest.java
+++ b/frontend/src/test/java/quincespar/program/runtime/InputQueueTest.java
@@ -33,7 +33,7 @@
     /** Adds inputs on another thread until it blocks or has added all; returns how many it had added. */
     private int addUntilFull(Input input) throws InterruptedException {
         AtomicInteger added = new AtomicInteger();
-        Thread peer = addOnAnotherThread(input, INPUTS, added);
+        Thread peer = addOnAnotherThread(() -> queue.addFromClient(List.of(input)), INPUTS, added);
         int addedBeforeTaking = added.get();
         int taken = 0;
         while (taken < INPUTS) {
@@ -44,10 +44,10 @@
     }
 
     /** Adds inputs on another thread; returns once it blocks or has added all. */
-    private Thread addOnAnotherThread(Input input, int count, AtomicInteger added) {
+    private static Thread addOnAnotherThread(Runnable add, int count, AtomicInteger added) {
         Thread peer = new Thread(() -> {
             for (int i = 0; i < count; i++) {
-                queue.addFromPeer(List.of(input));
+                add.run();
                 added.incrementAndGet();
             }
         });
@@ -73,7 +73,7 @@
                 queue.take();
                 taken.countDown();
                 peersWait.await();
-                queue.addFromPeer(small);
+                queue.addFromClient(List.of(small));
                 notBlocked.countDown();
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
@@ -82,8 +82,8 @@
         reducer.setDaemon(true);
         reducer.start();
         taken.await();
-        addOnAnotherThread(small, MORE_THAN_FIT, added);
-        addOnAnotherThread(small, MORE_THAN_FIT, added);
+        addOnAnotherThread(() -> queue.addFromClient(List.of(small)), MORE_THAN_FIT, added);
+        addOnAnotherThread(() -> queue.addFromClient(List.of(small)), MORE_THAN_FIT, added);
         assertThat(added).hasValueLessThan(2 * MORE_THAN_FIT);
         peersWait.countDown();
         notBlocked.await();
@@ -101,6 +101,16 @@
         assertThat(addUntilFull(page())).isBetween(1, MAX_QUEUED_BYTES / PAYLOAD_BYTES);
     }
 
+    /** Guards against engines and a change log that are not read because clients send more than the reducer takes. */
+    @Test
+    void serversHaveRoomThoughClientsFillTheQueue() throws InterruptedException {
+        AtomicInteger added = new AtomicInteger();
+        addOnAnotherThread(() -> queue.addFromClient(List.of(request())), MORE_THAN_FIT, added);
+        assertThat(added).hasValueLessThan(MORE_THAN_FIT);
+        Thread server = addOnAnotherThread(() -> queue.addFromServer(page()), 1, new AtomicInteger());
+        assertThat(server.getState()).isEqualTo(Thread.State.TERMINATED);
+    }
+
     @Test
     void shortInputsDoNotBlockBeforeTheirNumberIsReached() throws InterruptedException {
         assertThat(addUntilFull(new Input.CallerConnected(1))).isEqualTo(INPUTS);
