--- a/frontend/src/main/java/quincespar/program/clients/ThriftServer.java
+++ b/frontend/src/main/java/quincespar/program/clients/ThriftServer.java
@@ -64,6 +64,7 @@
     /** Messages of one connection that are handled in one pass, so that other connections wait for no more than that. */
     private static final int MAX_MESSAGES_PER_PASS = 64;
     private static final int MAX_OPEN_HEALTH_CALLS = 64;
+    private static final byte[] NONE = {};
     /** How long a connection that may send no further message now is left unread. */
     private static final long EXCESS_PAUSE_MS = 10;
     /** Outbox limit of a connection: room for an answer of maximum length to each open request. */
@@ -235,7 +236,7 @@
         private final List<Input> pending = new ArrayList<>();
         private final MessageLimits.Allowance allowance = messageLimits.forConnection();
         /** What was read and is not decoded yet, because no further message may begin; reading is paused meanwhile. */
-        private byte[] undecoded = {};
+        private byte[] undecoded = NONE;
         private int messagesInPass;
         /** Whether messages of this pass may begin beyond the rates. */
         private boolean rateSuspended;
@@ -315,6 +316,11 @@
             boolean startsMessage = !frames.hasPartialMessage();
             try {
                 int decoded = frames.feed(bytes, 0, count, this);
+                if (decoded < count && !frameMemory.reserve(count - decoded)) {
+                    rateSuspended = true; // what can't be kept is handled
+                    decoded = frames.feed(bytes, decoded, count, this);
+                    rateSuspended = false;
+                }
                 undecoded = Arrays.copyOfRange(bytes, decoded, count);
             } catch (MalformedException e) {
                 reject(UNKNOWN_SEQID, FrontCodec.INVALID_MESSAGE_TYPE, e.getMessage());
@@ -322,7 +328,7 @@
             }
             if (ending) {
                 frames.reset();
-                undecoded = new byte[0];
+                releaseUndecoded();
             }
             requestStartedAt = startsMessage ? receivedAt : requestStartedAt;
             if (undecoded.length > 0) {
@@ -333,12 +339,14 @@
         /** A message may begin once those before it leave room: in this pass, among the open health calls, and in the rates. */
         @Override
         public boolean acceptsFrame() {
+            if (rateSuspended) {
+                return true;
+            }
             if (messagesInPass >= MAX_MESSAGES_PER_PASS) {
                 excessPauseMs = 0;
                 return false;
             }
-            boolean allowed = rateSuspended || allowance.take(clock.now());
-            if (openHealthCalls.get() >= MAX_OPEN_HEALTH_CALLS || !allowed) {
+            if (openHealthCalls.get() >= MAX_OPEN_HEALTH_CALLS || !allowance.take(clock.now())) {
                 counters.count(Counters.Count.CALLERS_PAUSED);
                 excessPauseMs = EXCESS_PAUSE_MS;
                 return false;
@@ -357,12 +365,19 @@
 
         @Override
         public void pauseEnded() {
-            if (undecoded.length > 0) {
-                decode(undecoded, undecoded.length);
+            byte[] bytes = undecoded;
+            releaseUndecoded();
+            if (bytes.length > 0) {
+                decode(bytes, bytes.length);
                 readComplete(false);
             }
         }
 
+        private void releaseUndecoded() {
+            frameMemory.release(undecoded.length);
+            undecoded = NONE;
+        }
+
         @Override
         public void readComplete(boolean allRead) {
             reportUnreadInput(!allRead);
@@ -409,6 +424,7 @@
             }
             sessions.remove(number);
             frames.reset();
+            releaseUndecoded();
             listener.resume();
             post.accept(List.of(new Input.CallerDisconnected(number)));
         }
--- a/frontend/src/main/java/quincespar/protocol/thrift/FrameMemory.java
+++ b/frontend/src/main/java/quincespar/protocol/thrift/FrameMemory.java
@@ -1,6 +1,6 @@
 package quincespar.protocol.thrift;
 
-/** The memory for long frames that are partly received on all connections together. One thread changes it. */
+/** The memory for what is received on all connections together and not used yet: parts of long frames. One thread changes it. */
 public final class FrameMemory {
     private final long maxBytes;
     private volatile long reservedBytes;
@@ -10,8 +10,8 @@
         this.maxBytes = maxBytes;
     }
 
-    /** Reserves the memory for a frame; false if too little is free. */
-    boolean reserve(int bytes) {
+    /** Reserves memory; false if too little is free. */
+    public boolean reserve(int bytes) {
         if (reservedBytes + bytes > maxBytes) {
             return false;
         }
@@ -19,7 +19,8 @@
         return true;
     }
 
-    void release(int bytes) {
+    /** Frees memory that was reserved. */
+    public void release(int bytes) {
         reservedBytes -= bytes;
     }
 
--- a/frontend/src/test/java/quincespar/program/FloodedFrontEnd.java
+++ b/frontend/src/test/java/quincespar/program/FloodedFrontEnd.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -61,6 +62,12 @@
         assertThat(process.isAlive()).isTrue();
     }
 
+    /** The largest resident memory of the process so far. */
+    final long peakMemoryMb() throws IOException {
+        return Files.readAllLines(Path.of("/proc/" + process.pid() + "/status")).stream().filter(l -> l.startsWith("VmHWM:"))
+                .mapToLong(l -> Long.parseLong(l.replaceAll("[^0-9]", "")) / 1024).findFirst().orElseThrow();
+    }
+
     final void assertEnoughMemory() throws Exception {
         over.set(true);
         process.destroyForcibly().waitFor(); // ends the clients that still wait for answers
