Take no request under the txn of an ended one that may have run and must not run twice

The front end knew a txn only while an attempt of it was open, so once the cancel was written the load was sent a second time.

Cause: the duty not to run a load twice was kept with the request, which ends before the duty. Class: knowledge that ends with the object that it is kept in.

ReducerTest.aTxnThatMayHaveRunAndMustNotRunTwiceIsNotTakenAgain: red before for the unsafe class (two requests reached the scheduler), green now; a safe class may be sent again, as before. The other process of an upgrade does not know these txns; that is open.

--- a/frontend/src/main/java/quincespar/routing/Requests.java
+++ b/frontend/src/main/java/quincespar/routing/Requests.java
@@ -22,6 +22,7 @@
     private final Map<Caller, OpenRequest> unanswered = new LinkedHashMap<>();
     /** Until none of its attempts is open: an engine knows a request by its txn only. */
     private final Map<String, OpenRequest> byTxn = new HashMap<>();
+    private final CompletedTransactions completed = new CompletedTransactions();
     private final CallerConnections connections = new CallerConnections();
     private final OrderingKeys orderingKeys = new OrderingKeys();
     private final RequestMemory memory;
@@ -91,6 +92,7 @@
     void addRetainedCounts(Map<String, Integer> out) {
         out.put("held.requests", byId.size());
         out.put("held.names", byTxn.size());
+        out.put("held.completed-names", completed.size());
         out.put("held.callers", connections.size());
         out.put("held.ordering-keys", orderingKeys.size());
         out.put("held.request-bytes", (int) memory.totalBytes());
@@ -158,7 +160,8 @@
 
     void received(Input.RequestReceived input) {
         Query query = input.query();
-        if (unanswered.containsKey(input.caller()) || byTxn.containsKey(query.txn())) {
+        if (unanswered.containsKey(input.caller()) || byTxn.containsKey(query.txn())
+                || completed.contains(query.txn(), context.now)) {
             // neither an engine nor this front end could tell the two requests apart
             answerUnopened(input, new Reply.Failed());
             return;
@@ -419,6 +422,9 @@
     void removeIfEnded(OpenRequest request) {
         if (request.closed && !request.running() && byId.remove(request.id) != null) {
             byTxn.remove(request.query.txn(), request);
+            if (request.unsafe() && request.mayHaveRun()) {
+                completed.add(request.query.txn(), context.now);
+            }
             memory.remove(request);
             if (request.orderingKey != null) {
                 unlockKey(request);
--- a/frontend/src/test/java/quincespar/routing/ReducerTest.java
+++ b/frontend/src/test/java/quincespar/routing/ReducerTest.java
@@ -136,6 +136,24 @@
         assertThat(lastOutcome()).isEqualTo(Outcome.OK);
     }
 
+    /** Guards against a load that runs twice because its client has left and sends it again under the same txn. */
+    @ParameterizedTest
+    @ValueSource(ints = {SAFE_CLASS, UNSAFE_CLASS})
+    void aTxnThatMayHaveRunAndMustNotRunTwiceIsNotTakenAgain(int classNumber) {
+        Effect.Send send = sendRequest(classNumber);
+        beginWrite(send);
+        step(new Input.CallerDisconnected(1));
+        plannedActions.add(new Scheduler.CancelAttempt(REQUEST, 0, Scheduler.CancelReason.REQUEST_OVER));
+        decide();
+        step(new Input.CancelWritten(send.key()));
+        Caller again = new Caller(2, 1);
+        step(new Input.RequestReceived(again, query(send.txn(), classNumber), now));
+        decide();
+        assertThat(of(Scheduler.Request.class, events)).hasSize(classNumber == UNSAFE_CLASS ? 1 : 2);
+        assertThat(of(Effect.Answer.class, effects)).isEqualTo(classNumber == UNSAFE_CLASS
+                ? List.of(new Effect.Answer(again, new Reply.Failed())) : List.of());
+    }
+
     /** Guards against an attempt for a client whose end is among its unread input. */
     @Test
     void nothingIsSentForAConnectionUntilAllOfItsInputIsRead() {
