Send nothing to an engine whose address a new one has, though its end is not reported

Work for the first went out on a new connection to that address, so the new process got it under the wrong name: beyond its share, and beyond the allowance of a cold engine, which is counted by name.

Cause: engines were told apart by id only, and each stayed ready until its own entry changed.

Change: an engine that is first listed at the address of an earlier one marks that as replaced. It gets no new work, as one that drains; what is open there goes on; its own next entry ends the mark.

Not seen by the front end, and open: a new process at an address before any list names it, as engines do not say who they are.

--- a/frontend/src/main/java/quincespar/program/FrontEnd.java
+++ b/frontend/src/main/java/quincespar/program/FrontEnd.java
@@ -537,6 +537,11 @@
                 inputs.add(new Input.FleetStateReceived(e == null ? state : null))));
     }
 
+    /** What was sent to each engine, and how it ended; see {@link Reducer#engineCounters}. */
+    Map<String, Long> engineCounters() {
+        return reducer.engineCounters();
+    }
+
     private static void putDurations(Map<String, String> counters, String name, DurationStats durations) {
         counters.put(name + ".us", Long.toString(durations.totalUs()));
         counters.put(name + ".longest_us", Long.toString(durations.longestUs()));
--- a/frontend/src/main/java/quincespar/routing/EngineRegistry.java
+++ b/frontend/src/main/java/quincespar/routing/EngineRegistry.java
@@ -24,6 +24,8 @@
         double startedAt;
         /** It gets no work although it is listed as up: it had drained before a power loss, or all sends are on hold. */
         boolean withheld;
+        /** A newer engine has its address, so that its process has gone, though the list has not said so yet. */
+        boolean replaced;
 
         Engine(long number, FleetEvent.Member listed, double startedAt) {
             this.number = number;
@@ -33,7 +35,7 @@
 
         /** Whether it takes new work. */
         boolean ready() {
-            return listed.phase() == Phase.UP && !withheld;
+            return listed.phase() == Phase.UP && !withheld && !replaced;
         }
     }
 
@@ -93,11 +95,31 @@
         listReceived = true;
         revision = event.revision();
         List<Scheduler.Engine> changed = new ArrayList<>();
+        List<Engine> earlier = List.copyOf(byNumber.values());
         event.members().forEach(m -> changed.add(toSchedulerEngine(update(m, kind, now))));
         removed.forEach(m -> update(m, kind, now));
+        markReplaced(earlier, event.members()).forEach(e -> changed.add(toSchedulerEngine(e)));
         return new Scheduler.EngineList(kind, event.revision(), changed);
     }
 
+    /** Marks the engines that a new engine in the list replaces at their address, and returns them. */
+    private List<Engine> markReplaced(List<Engine> earlier, List<FleetEvent.Member> members) {
+        List<Engine> replaced = new ArrayList<>();
+        for (FleetEvent.Member member : members) {
+            Engine newer = byNumber.get(number(member.id()));
+            if (earlier.contains(newer) || member.phase() == Phase.REMOVED) {
+                continue;
+            }
+            for (Engine engine : earlier) {
+                if (engine.listed.address().equals(member.address()) && engine.ready()) {
+                    engine.replaced = true;
+                    replaced.add(engine);
+                }
+            }
+        }
+        return replaced;
+    }
+
     /** Puts all sends on hold, or ends that; takes effect with the next {@link #relist}. */
     void hold(boolean on) {
         held = on;
@@ -124,6 +146,7 @@
             engine.startedAt = startedAt(member, change, now);
         }
         engine.listed = member;
+        engine.replaced = false;
         recovery.engineListed(member);
         engine.withheld = held || recovery.withholds(member);
         return engine;
@@ -151,7 +174,7 @@
     private Scheduler.Engine toSchedulerEngine(Engine engine) {
         FleetEvent.Member member = engine.listed;
         EngineState state = switch (member.phase()) {
-            case UP -> engine.withheld ? EngineState.DRAINING : EngineState.READY;
+            case UP -> engine.ready() ? EngineState.READY : EngineState.DRAINING;
             case DRAINING -> EngineState.DRAINING;
             case REMOVED -> EngineState.GONE;
         };
--- a/frontend/src/test/java/quincespar/program/ConnectionEndTest.java
+++ b/frontend/src/test/java/quincespar/program/ConnectionEndTest.java
@@ -35,6 +35,8 @@
     /** Client connections that are closed at shutdown only. */
     private static final String NO_IDLE_TIMEOUT = "clients {\n idle 3600s\n first-word 3600s\n}\n";
 
+    private static final int LOOKUPS = 20;
+
     @TempDir
     private Path folder;
     private final List<AutoCloseable> peers = new ArrayList<>();
@@ -612,6 +614,25 @@
         assertThat(c.answer()).isEqualTo(ScriptedPeers.Kind.SERVED);
     }
 
+    /** Guards against work for an engine that has gone on a new connection to the engine that has its address now. */
+    @Test
+    void anEngineWhoseAddressANewOneHasGetsNoWorkThoughItsEndIsNotReported() throws Exception {
+        start(NO_IDLE_TIMEOUT, engine.server.getLocalPort(), "\"cancelling\":true", LOOKUP);
+        ScriptedPeers.Client watch = client();
+        ScriptedPeers.Client c = client();
+        changes.answers.add(changes(2, member("s-2", "up", engine.server.getLocalPort())));
+        awaitCounter(watch, "held.engines", "2");
+        for (int call = 1; call <= LOOKUPS; call += 2) {
+            c.call(call, request("lookup", call));
+            c.call(call + 1, request("lookup", call + 1)); // two at once, so that each engine that takes work gets one
+            for (int answer = 0; answer < 2; answer++) {
+                answerDone(engine.next("serve"));
+                assertThat(c.answer()).isEqualTo(ScriptedPeers.Kind.SERVED);
+            }
+        }
+        assertThat(frontEnd.engineCounters()).containsEntry("s-2.sent", (long) LOOKUPS).doesNotContainKey("s-1.sent");
+    }
+
     /** An engine missing from a complete list is gone, as if its removal had been reported. */
     @Test
     void aRequestWaitingForAnEngineMissingFromACompleteListIsSentToAnother() throws Exception {
