Show a load that runs twice when it comes again at the other process of an upgrade

Within one process such a load fails since the txns of ended loads are kept; the other process does not know them.

--- a/frontend/src/test/java/quincespar/program/UpgradeSharingIT.java
+++ b/frontend/src/test/java/quincespar/program/UpgradeSharingIT.java
@@ -123,6 +123,19 @@
         assertThat((next.receivedAtNanos() - killedAt) / 1e6).isGreaterThanOrEqualTo(300);
     }
 
+    /** Guards against a load that the new process sends again after its client has left the old one. */
+    @Test
+    void aLoadThatComesAgainAtTheOtherProcessIsNotSentTwice() throws Exception {
+        oldClient.close();
+        assertThat(engine.next("cancel").id()).isEqualTo(head.id());
+        Map<String, String> fields = new HashMap<>(ScriptedPeers.fields("load", head.id()));
+        fields.putAll(Map.of("item", "a", "limit", "2000"));
+        newClient.call(1, fields);
+        assertThat(newClient.answer()).isEqualTo(ScriptedPeers.Kind.FAILED);
+        String next = load(newClient, "a");
+        assertNextSent(next);
+    }
+
     /** Guards against a retry budget that each of the two processes uses in full. */
     @Test
     void theRetriesOfBothProcessesStayWithinTheBudgetOfOneFrontEnd() throws Exception {
