Look for replaced engines only where a list names new ones

Each event of the change log compared all engines with all of its members, ten million comparisons for a complete list of 3,200. Now only the addresses of engines that are new in the event are looked up. Behaviour as before; ReducerTest and the three tests of ConnectionEndTest on new engines pass.

--- a/frontend/src/main/java/quincespar/routing/EngineRegistry.java
+++ b/frontend/src/main/java/quincespar/routing/EngineRegistry.java
@@ -2,9 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import quincespar.decision.Scheduler;
 import quincespar.decision.Scheduler.EngineState;
 import quincespar.protocol.FleetEvent;
@@ -95,7 +97,7 @@
         listReceived = true;
         revision = event.revision();
         List<Scheduler.Engine> changed = new ArrayList<>();
-        List<Engine> earlier = List.copyOf(byNumber.values());
+        Set<Long> earlier = Set.copyOf(byNumber.keySet());
         event.members().forEach(m -> changed.add(toSchedulerEngine(update(m, kind, now))));
         removed.forEach(m -> update(m, kind, now));
         markReplaced(earlier, event.members()).forEach(e -> changed.add(toSchedulerEngine(e)));
@@ -103,20 +105,16 @@
     }
 
     /** Marks the engines that a new engine in the list replaces at their address, and returns them. */
-    private List<Engine> markReplaced(List<Engine> earlier, List<FleetEvent.Member> members) {
-        List<Engine> replaced = new ArrayList<>();
+    private List<Engine> markReplaced(Set<Long> earlier, List<FleetEvent.Member> members) {
+        Set<String> newAddresses = new HashSet<>();
         for (FleetEvent.Member member : members) {
-            Engine newer = byNumber.get(number(member.id()));
-            if (earlier.contains(newer) || member.phase() == Phase.REMOVED) {
-                continue;
-            }
-            for (Engine engine : earlier) {
-                if (engine.listed.address().equals(member.address()) && engine.ready()) {
-                    engine.replaced = true;
-                    replaced.add(engine);
-                }
+            if (member.phase() != Phase.REMOVED && !earlier.contains(number(member.id()))) {
+                newAddresses.add(member.address());
             }
         }
+        List<Engine> replaced = newAddresses.isEmpty() ? List.of() : byNumber.values().stream()
+                .filter(e -> earlier.contains(e.number) && e.ready() && newAddresses.contains(e.listed.address())).toList();
+        replaced.forEach(e -> e.replaced = true);
         return replaced;
     }
 
