Name the reducer's reactions to unread input after their inputs

Requests had inputUnread twice, once as a reaction and once as a question. The reactions now have the names of their inputs. A doc comment and a constant's name are clearer. Behaviour as before: ReducerTest, ThriftServerTest, FrontEndTest and ConnectionTest pass.

--- a/frontend/src/main/java/quincespar/program/clients/ThriftServer.java
+++ b/frontend/src/main/java/quincespar/program/clients/ThriftServer.java
@@ -64,7 +64,7 @@
     /** Messages of one connection that are handled in one pass, so that other connections wait for no more than that. */
     private static final int MAX_MESSAGES_PER_PASS = 64;
     private static final int MAX_OPEN_HEALTH_CALLS = 64;
-    private static final byte[] NONE = {};
+    private static final byte[] NO_BYTES = {};
     /** How long a connection that may send no further message now is left unread. */
     private static final long EXCESS_PAUSE_MS = 10;
     /** Outbox limit of a connection: room for an answer of maximum length to each open request. */
@@ -236,7 +236,7 @@
         private final List<Input> pending = new ArrayList<>();
         private final MessageLimits.Allowance allowance = messageLimits.forConnection();
         /** What was read and is not decoded yet, because no further message may begin; reading is paused meanwhile. */
-        private byte[] undecoded = NONE;
+        private byte[] undecoded = NO_BYTES;
         private int messagesInPass;
         /** Whether messages of this pass may begin beyond the rates. */
         private boolean rateSuspended;
@@ -317,7 +317,7 @@
             try {
                 int decoded = frames.feed(bytes, 0, count, this);
                 if (decoded < count && !frameMemory.reserve(count - decoded)) {
-                    rateSuspended = true; // what can't be kept is handled
+                    rateSuspended = true; // there is no memory to keep it
                     decoded = frames.feed(bytes, decoded, count, this);
                     rateSuspended = false;
                 }
@@ -375,7 +375,7 @@
 
         private void releaseUndecoded() {
             frameMemory.release(undecoded.length);
-            undecoded = NONE;
+            undecoded = NO_BYTES;
         }
 
         @Override
--- a/frontend/src/main/java/quincespar/routing/Reducer.java
+++ b/frontend/src/main/java/quincespar/routing/Reducer.java
@@ -191,9 +191,9 @@
         } else if (input instanceof Input.PartialMessage i) {
             links.partialMessage(i.link(), i.pending());
         } else if (input instanceof Input.CallerInputUnread i) {
-            requests.inputUnread(i.connection());
+            requests.callerInputUnread(i.connection());
         } else if (input instanceof Input.CallerInputRead i) {
-            requests.inputRead(i.connection());
+            requests.callerInputRead(i.connection());
         } else if (input instanceof Input.RequestCancelled i) {
             requests.cancelled(i.caller());
         } else if (input instanceof Input.CallerDisconnected i) {
@@ -285,7 +285,7 @@
         } else if (key instanceof TimerKey.CallerIdle k) {
             requests.callerIdle(k.connection());
         } else if (key instanceof TimerKey.CallerInputUnread k) {
-            requests.inputUnreadTooLong(k.connection());
+            requests.callerInputUnreadTooLong(k.connection());
         } else if (key instanceof TimerKey.ProbeTimeout k) {
             links.probeEnded(k.tag(), false, List.of());
         } else if (key instanceof TimerKey.ChangeLogTimer k) {
--- a/frontend/src/main/java/quincespar/routing/Requests.java
+++ b/frontend/src/main/java/quincespar/routing/Requests.java
@@ -299,9 +299,9 @@
 
     /**
      * Not all input of a connection has been read: the cancel of a request, or the client's end, may be among the rest. Until
-     * {@link #inputRead} its requests wait, and so do attempts that have not begun.
+     * {@link #callerInputRead} its requests wait, and so do attempts that have not begun.
      */
-    void inputUnread(long id) {
+    void callerInputUnread(long id) {
         CallerConnections.CallerConnection connection = connections.get(id);
         if (connection != null && !connection.inputUnread) {
             connection.inputUnread = true;
@@ -310,7 +310,7 @@
     }
 
     /** All input of a connection has been read. */
-    void inputRead(long id) {
+    void callerInputRead(long id) {
         CallerConnections.CallerConnection connection = connections.get(id);
         if (connection == null || !connection.inputUnread) {
             return;
@@ -326,7 +326,7 @@
     }
 
     /** A client sends more than can be read: what has not begun is refused, as nobody can tell how long it would wait. */
-    void inputUnreadTooLong(long id) {
+    void callerInputUnreadTooLong(long id) {
         CallerConnections.CallerConnection connection = connections.get(id);
         if (connection == null || !connection.inputUnread) {
             return;
--- a/frontend/src/main/java/quincespar/transport/Connection.java
+++ b/frontend/src/main/java/quincespar/transport/Connection.java
@@ -304,7 +304,7 @@
     }
 
     /**
-     * Reads nothing for a while, and only what is readable in this pass if that is 0, so that a peer that sends too much costs
+     * Reads nothing more for a while, with 0 until the other channels had their turn, so that a peer that sends too much costs
      * little. Call on the loop's thread only.
      */
     public void pauseReading(long pauseMs) {
