Share the txns of begun loads between the processes of an upgrade

Cause: only the process that had begun a load knew its txn.

A request of such a class whose txn another process has written fails.

--- a/frontend/src/main/java/quincespar/program/FrontEnd.java
+++ b/frontend/src/main/java/quincespar/program/FrontEnd.java
@@ -22,6 +22,7 @@
 import quincespar.program.fleet.FleetPages;
 import quincespar.program.fleet.FleetSettings;
 import quincespar.program.keys.KeyLocks;
+import quincespar.program.keys.StartedTransactions;
 import quincespar.program.recovery.RecoveryJournal;
 import quincespar.program.recovery.RecoveryPages;
 import quincespar.program.recovery.RecoverySettings;
@@ -105,6 +106,8 @@
     private final ProcessLocks processLocks;
     /** Null where other processes of this front end can't be detected. */
     private final KeyLocks keyLocks;
+    /** Null where other processes of this front end can't be detected. */
+    private final StartedTransactions startedTransactions;
     private final Listener listener;
     private final StatusServer status;
     /** Null without a fleet. */
@@ -142,6 +145,7 @@
         longestDeadlineMs = c.site().longestDeadlineMs();
         processLocks = ProcessLocks.acquire(environment, c.listen());
         keyLocks = openKeyLocks(c);
+        startedTransactions = openStartedTransactions(c);
         bounds = c.bounds(settings);
         String folder = settings.text(Keyword.CAPTURE_FOLDER);
         capture = folder.isEmpty() ? null : CaptureSession.open(Path.of(folder), settings, c.name(), clock.now(), c.seed(),
@@ -161,7 +165,8 @@
         listener = new Listener(clientLoop, c.listen(), true);
         thriftServer = new ThriftServer(clientLoop, listener, c.site(), (int) (c.sockets() * CLIENT_SHARE),
                 bounds.firstRequestMs(), settings.count(Keyword.CLIENTS_MESSAGE_RATE),
-                settings.count(Keyword.CLIENTS_SHARED_MESSAGE_RATE), clock, counters, inputs::addFromClient, this::allCounters);
+                settings.count(Keyword.CLIENTS_SHARED_MESSAGE_RATE), clock, counters, inputs::addFromClient, this::allCounters,
+                txn -> startedTransactions != null && startedTransactions.startedByOther(txn));
         fleetService = fleet == null ? null : new FleetService(fleet, c.name(), c.admin() == null ? "" : c.admin().getHostString()
                 + ":" + c.admin().getPort(), Version.text(), clock::now,
                 line -> log.info("{}: {}", c.name(), line),
@@ -194,6 +199,20 @@
         }
     }
 
+    private StartedTransactions openStartedTransactions(Configuration c) {
+        if (processLocks.folder() == null) {
+            return null;
+        }
+        Path file = processLocks.folder().resolve("quincespar-" + processLocks.address() + "-started-1.table");
+        try {
+            return Retry.atStartup(() -> StartedTransactions.open(file, ProcessLocks.MAX_PROCESSES, processLocks.ownNumber()));
+        } catch (IOException e) {
+            log.warn("{}: what other processes have begun to send is not known, as {} can't be used: {}", c.name(), file,
+                    e.getMessage());
+            return null;
+        }
+    }
+
     private static ConfigurationCheck.Valid readAtStart(Map<String, String> environment) throws IOException {
         return Retry.atStartup(() -> {
             try {
@@ -516,6 +535,10 @@
             engines.applySettings(e.settings());
         } else if (effect instanceof Effect.PersistEntry e) {
             recoveryJournal.add(e.entry(), e.request());
+        } else if (effect instanceof Effect.RecordStart e) {
+            if (startedTransactions != null) {
+                startedTransactions.add(e.txn());
+            }
         } else if (effect instanceof Effect.LockKey e) {
             keyLocks.lock(e, clock.now() - e.arrivedAt());
         } else if (effect instanceof Effect.UnlockKey e) {
--- a/frontend/src/main/java/quincespar/program/clients/ThriftServer.java
+++ b/frontend/src/main/java/quincespar/program/clients/ThriftServer.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import java.util.regex.Pattern;
 import org.slf4j.Logger;
@@ -86,6 +87,7 @@
     /** Receives the inputs that were read in one pass, to be handled in one batch. */
     private final Consumer<List<Input>> post;
     private final Supplier<Map<String, String>> healthFields;
+    private final Predicate<String> startedElsewhere;
     private final EventLoop loop;
     private final Listener listener;
     /** Time after which a partly received request no longer keeps its connection busy. */
@@ -102,10 +104,12 @@
      * @param messagesPerSecond of one connection; beyond it, all connections share {@code sharedMessagesPerSecond}
      * @param post receives the inputs that were read in one pass of a connection, to be handled in one batch
      * @param healthFields the fields of an answer to a health call
+     * @param startedElsewhere whether another process of this front end has begun to send the request of a txn
      */
     public ThriftServer(EventLoop loop, Listener listener, RoutingSettings settings, int connectionLimit,
             double requestReadTimeoutMs, double messagesPerSecond, double sharedMessagesPerSecond, Clock clock, Counters counters, Consumer<List<Input>> post,
-            Supplier<Map<String, String>> healthFields) {
+            Supplier<Map<String, String>> healthFields, Predicate<String> startedElsewhere) {
+        this.startedElsewhere = startedElsewhere;
         this.requestReadTimeoutMs = requestReadTimeoutMs;
         messageLimits = new MessageLimits(messagesPerSecond, sharedMessagesPerSecond);
         this.loop = loop;
@@ -537,7 +541,9 @@
                 return;
             }
             openRequests.add(call.seqid());
-            pending.add(new Input.RequestReceived(caller, query, receivedAt));
+            pending.add(mustNotRunTwice(query) && startedElsewhere.test(query.txn())
+                    ? new Input.RequestStartedElsewhere(caller, query.classNumber())
+                    : new Input.RequestReceived(caller, query, receivedAt));
         }
     }
 
@@ -546,6 +552,10 @@
         return parseQuery((Message.Call) FrontCodec.read(frame));
     }
 
+    private boolean mustNotRunTwice(Query query) {
+        return settings.decision().classes().get(query.classNumber()).idempotency() == Scheduler.Idempotency.UNSAFE;
+    }
+
     /** Builds a query from a call's fields; throws {@link MalformedException} that names the first invalid field. */
     private Query parseQuery(Message.Call call) {
         RoutingSettings current = settings; // read once, as another thread may replace it
--- a/frontend/src/main/java/quincespar/program/keys/package-info.java
+++ b/frontend/src/main/java/quincespar/program/keys/package-info.java
@@ -1,5 +1,6 @@
 /**
- * Locks on ordering keys that the processes of one front end share, as during an upgrade. May use {@code program.runtime} and
+ * What the processes of one front end share, as during an upgrade: locks on ordering keys, and the txns of requests that must not
+ * run twice. May use {@code program.runtime} and
  * what is below the program.
  */
 package quincespar.program.keys;
--- a/frontend/src/main/java/quincespar/routing/Attempts.java
+++ b/frontend/src/main/java/quincespar/routing/Attempts.java
@@ -138,6 +138,9 @@
         counters.countAtEngine(engine, "sent");
         context.trace(() -> "request " + query.txn() + ": attempt " + attempt.key.attempt() + " sent to " + engine
                 + " on connection " + attempt.link.id);
+        if (attempt.request.unsafe()) {
+            context.addEffect(new Effect.RecordStart(query.txn()));
+        }
         context.addEffect(new Effect.Send(attempt.link.id, attempt.key, query.txn(), attempt.request.spec.name(),
                 query.idempotencyKey(), attempt.request.priority, Math.max(1, Math.round(attempt.timeoutAt - context.now)),
                 query.statement(), attempt.write));
--- a/frontend/src/main/java/quincespar/routing/Effect.java
+++ b/frontend/src/main/java/quincespar/routing/Effect.java
@@ -10,6 +10,9 @@
     /** Send a client its final answer. */
     record Answer(Caller caller, Reply reply) implements Effect { }
 
+    /** A request that must not run twice is sent next: other processes of this front end must know its txn. */
+    record RecordStart(String txn) implements Effect { }
+
     /** Answer a health check: whether requests can be served. */
     record AnswerHealth(Caller caller) implements Effect { }
 
--- a/frontend/src/main/java/quincespar/routing/Input.java
+++ b/frontend/src/main/java/quincespar/routing/Input.java
@@ -30,6 +30,9 @@
         }
     }
 
+    /** A client sends a request that must not run twice and that another process of this front end has begun to send. */
+    record RequestStartedElsewhere(Caller caller, int classNumber) implements Input { }
+
     /** A client's connection has more input than was read in one pass; its cancels or its end may be among the rest. */
     record CallerInputUnread(long connection) implements Input { }
 
--- a/frontend/src/main/java/quincespar/routing/Reducer.java
+++ b/frontend/src/main/java/quincespar/routing/Reducer.java
@@ -190,6 +190,8 @@
             links.down(i.link(), i.cause());
         } else if (input instanceof Input.PartialMessage i) {
             links.partialMessage(i.link(), i.pending());
+        } else if (input instanceof Input.RequestStartedElsewhere i) {
+            requests.startedElsewhere(i);
         } else if (input instanceof Input.CallerInputUnread i) {
             requests.callerInputUnread(i.connection());
         } else if (input instanceof Input.CallerInputRead i) {
--- a/frontend/src/main/java/quincespar/routing/Requests.java
+++ b/frontend/src/main/java/quincespar/routing/Requests.java
@@ -180,9 +180,18 @@
         tellModuleWhenDue(request);
     }
 
+    /** A request may have run in another process of this front end, and must not run twice. */
+    void startedElsewhere(Input.RequestStartedElsewhere input) {
+        answerUnopened(input.caller(), input.classNumber(), new Reply.Failed());
+    }
+
     private void answerUnopened(Input.RequestReceived input, Reply reply) {
-        reply(input.caller(), input.query().classNumber(), reply);
-        notOpened(input.caller().connection());
+        answerUnopened(input.caller(), input.query().classNumber(), reply);
+    }
+
+    private void answerUnopened(Caller caller, int classNumber, Reply reply) {
+        reply(caller, classNumber, reply);
+        notOpened(caller.connection());
     }
 
     /** A request on this connection was answered without being opened: the connection is in use for as long as after others. */
--- a/frontend/src/test/java/quincespar/program/clients/ThriftServerTest.java
+++ b/frontend/src/test/java/quincespar/program/clients/ThriftServerTest.java
@@ -54,7 +54,7 @@
         RoutingSettings settings = RoutingSettings.of(Map.of("tick", "5", "requestClasses.count", "1",
                 "requestClasses.0.name", "lookup", "requestClasses.0.slo", "800", "requestClasses.0.hardLimit", "4000"));
         server = new ThriftServer(loop, listener, settings, CONNECTION_LIMIT, 2000, 50, 1000, new Clock(), new Counters(), posted::add,
-                HashMap::new);
+                HashMap::new, txn -> false);
         server.start();
     }
 
