Decode no more than a pass when an idle connection is looked at once more

Change: only lack of memory lifts the limit of a pass; the look at an idle connection lifts the rates alone.

FrontEndTest and ThriftServerTest pass.

--- a/frontend/src/main/java/quincespar/program/clients/ThriftServer.java
+++ b/frontend/src/main/java/quincespar/program/clients/ThriftServer.java
@@ -242,6 +242,8 @@
         /** What was read and is not decoded yet, because no further message may begin; reading is paused meanwhile. */
         private byte[] undecoded = NO_BYTES;
         private int messagesInPass;
+        /** Whether there is no memory to keep what may not begin, so that all of it begins. */
+        private boolean memoryShort;
         /** Whether messages of this pass may begin beyond the rates. */
         private boolean rateSuspended;
         /** For how long reading is paused because of the last message that might not begin. */
@@ -321,9 +323,9 @@
             try {
                 int decoded = frames.feed(bytes, 0, count, this);
                 if (decoded < count && !frameMemory.reserve(count - decoded)) {
-                    rateSuspended = true; // there is no memory to keep it
+                    memoryShort = true;
                     decoded = frames.feed(bytes, decoded, count, this);
-                    rateSuspended = false;
+                    memoryShort = false;
                 }
                 undecoded = Arrays.copyOfRange(bytes, decoded, count);
             } catch (MalformedException e) {
@@ -343,14 +345,14 @@
         /** A message may begin once those before it leave room: in this pass, among the open health calls, and in the rates. */
         @Override
         public boolean acceptsFrame() {
-            if (rateSuspended) {
+            if (memoryShort) {
                 return true;
             }
             if (messagesInPass >= MAX_MESSAGES_PER_PASS) {
                 excessPauseMs = 0;
                 return false;
             }
-            if (openHealthCalls.get() >= MAX_OPEN_HEALTH_CALLS || !allowance.take(clock.now())) {
+            if (openHealthCalls.get() >= MAX_OPEN_HEALTH_CALLS || !rateSuspended && !allowance.take(clock.now())) {
                 counters.count(Counters.Count.CALLERS_PAUSED);
                 excessPauseMs = EXCESS_PAUSE_MS;
                 return false;
--- a/frontend/src/test/java/quincespar/program/FullSpeedClientsIT.java
+++ b/frontend/src/test/java/quincespar/program/FullSpeedClientsIT.java
@@ -4,6 +4,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -20,6 +21,7 @@
 /** The jar on one core, under clients that send small messages at full speed without waiting for the answers. */
 @Timeout(120)
 class FullSpeedClientsIT extends FloodedFrontEnd {
+    private static final int LONG_BYTES = 70_000;
     private static final int FLOODING_CONNECTIONS = 6, MESSAGES_AT_ONCE = 200, USUAL_CLIENTS = 4;
     private static final String ON_ONE_CORE = "taskset -pc 0 $$ > /dev/null; ";
     private static final long FLOOD_MS = 3000, BETWEEN_LOOKUPS_MS = 20;
@@ -34,7 +36,9 @@
         UNKNOWN_TENANT(i -> call(i, Map.of("team", "tenant-" + i))),
         CANCEL(i -> ScriptedPeers.cancel(i)),
         REPEATED_NUMBER(i -> call(1, Map.of())),
-        VALID_CALL(i -> call(i, Map.of("verb", "load")));
+        VALID_CALL(i -> call(i, Map.of("verb", "load"))),
+        EMPTY_FRAME(i -> new byte[Integer.BYTES]),
+        LONG_MESSAGE(i -> ByteBuffer.allocate(Integer.BYTES + LONG_BYTES).putInt(LONG_BYTES).array());
 
         private final IntFunction<byte[]> message;
 
@@ -68,6 +72,30 @@
         for (int i = 0; i < FLOODING_CONNECTIONS; i++) {
             startFlood(() -> flood(port, flood));
         }
+        assertUsualClientsAreAnsweredInTime(port);
+    }
+
+    /** Guards against answers after their time while other clients connect, send and leave at full speed. */
+    @ParameterizedTest
+    @EnumSource(names = {"HEALTH", "VALID_CALL"})
+    void usualClientsAreAnsweredInTimeBesideClientsThatLeaveAfter(Flood flood) throws Exception {
+        int port = start(ON_ONE_CORE);
+        for (int i = 0; i < FLOODING_CONNECTIONS; i++) {
+            startFlood(() -> connectAndLeave(port, flood));
+        }
+        assertUsualClientsAreAnsweredInTime(port);
+    }
+
+    private void connectAndLeave(int port, Flood flood) throws IOException {
+        AtomicInteger number = new AtomicInteger();
+        while (!floodIsOver()) {
+            try (ScriptedPeers.Client client = new ScriptedPeers.Client(port)) {
+                client.raw(flood.next(number));
+            }
+        }
+    }
+
+    private void assertUsualClientsAreAnsweredInTime(int port) throws Exception {
         List<CompletableFuture<Void>> usual = new ArrayList<>();
         long endsAt = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(FLOOD_MS);
         for (int i = 0; i < USUAL_CLIENTS; i++) {
