--- a/frontend/src/main/java/quincespar/program/clients/ThriftServer.java
+++ b/frontend/src/main/java/quincespar/program/clients/ThriftServer.java
@@ -107,8 +107,9 @@
      * @param startedElsewhere whether another process of this front end has begun to send the request of a txn
      */
     public ThriftServer(EventLoop loop, Listener listener, RoutingSettings settings, int connectionLimit,
-            double requestReadTimeoutMs, double messagesPerSecond, double sharedMessagesPerSecond, Clock clock, Counters counters, Consumer<List<Input>> post,
-            Supplier<Map<String, String>> healthFields, Predicate<String> startedElsewhere) {
+            double requestReadTimeoutMs, double messagesPerSecond, double sharedMessagesPerSecond, Clock clock,
+            Counters counters, Consumer<List<Input>> post, Supplier<Map<String, String>> healthFields,
+            Predicate<String> startedElsewhere) {
         this.startedElsewhere = startedElsewhere;
         this.requestReadTimeoutMs = requestReadTimeoutMs;
         messageLimits = new MessageLimits(messagesPerSecond, sharedMessagesPerSecond);
--- a/frontend/src/main/java/quincespar/transport/Connection.java
+++ b/frontend/src/main/java/quincespar/transport/Connection.java
@@ -126,6 +126,8 @@
     private boolean endedByPeer;
     private volatile boolean failedLocally;
     private boolean readingPaused;
+    /** Number of the last pause; the end of an earlier one, which was cut short, is ignored. */
+    private long lastPause;
     /** Whether the next round of the loop reads on, whether or not the selector reports the channel. */
     private boolean restScheduled;
     private int queuedBytes;
@@ -312,11 +314,17 @@
     public void pauseReading(long pauseMs) {
         readingPaused = true;
         setInterest(SelectionKey.OP_READ, false);
-        loop.after(pauseMs, this::resumeReading);
+        long number = ++lastPause;
+        loop.after(pauseMs, () -> {
+            if (number == lastPause) {
+                resumeReading();
+            }
+        });
     }
 
     private void cutPauseShort() {
         readingPaused = false;
+        lastPause++;
         handler.pauseCutShort();
         if (!readingPaused) {
             setInterest(SelectionKey.OP_READ, true);
--- a/frontend/src/test/java/quincespar/transport/ConnectionTest.java
+++ b/frontend/src/test/java/quincespar/transport/ConnectionTest.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -307,6 +308,49 @@
         }
     }
 
+    /** Guards against pauses that end ever more often, because each one that was cut short still ends a later one. */
+    @Test
+    void aPauseLastsThoughEarlierOnesWereCutShort() throws Exception {
+        long pauseMs = 100;
+        BlockingQueue<Long> pauseEnds = new LinkedBlockingQueue<>();
+        try (Socket peer = peer()) {
+            Connection c = accepted(new OutboxLimit(100, 100));
+            c.start(new Connection.Handler() {
+                @Override
+                public void received(byte[] bytes, int count) {
+                    c.pauseReading(pauseMs);
+                    callbacks.add("received");
+                }
+
+                @Override
+                public void pauseCutShort() {
+                    c.pauseReading(pauseMs);
+                }
+
+                @Override
+                public void pauseEnded() {
+                    pauseEnds.add(System.nanoTime());
+                    c.pauseReading(pauseMs);
+                }
+
+                @Override
+                public void closed(String cause) {
+                    callbacks.add("closed: " + cause);
+                }
+            });
+            peer.getOutputStream().write(1);
+            assertThat(callbacks.take()).isEqualTo("received");
+            c.closeIfIdle("idle");
+            c.closeIfIdle("idle");
+            long before = pauseEnds.take();
+            for (int i = 0; i < 3; i++) {
+                long end = pauseEnds.take();
+                assertThat(TimeUnit.NANOSECONDS.toMillis(end - before)).isGreaterThanOrEqualTo(pauseMs - 1);
+                before = end;
+            }
+        }
+    }
+
     /** Idle check and close run in one task: with tasks of other connections in between, more requests could be lost. */
     @Test
     void noTaskRunsBetweenTheIdleCheckAndTheClose() throws Exception {
