Review case 10: show the unlisted zone by a keyed load that is applied twice

Looked for: what else follows from a name that the settings do not list; a second run of a load is graver than a wrong place.

Done: the script of case 10 now has loads of a class whose repeats are dropped within a zone, and engines that join in an unlisted zone.

--- a/review/standins-2/src/Case10.java
+++ b/review/standins-2/src/Case10.java
@@ -1,36 +1,57 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Collections;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
 
-/** Reports may run on one kind of engine only. An engine joins whose kind the settings do not name. Does it get reports? */
+/**
+ * Requests of a keyed class whose repeats are dropped within a zone run at engines, and end with an error there, after they have been
+ * applied. Meanwhile engines join in a zone that the settings do not name. Does each repeat stay in the zone of its first attempt?
+ */
 final class Case10 {
+    private static final int REQUESTS = 12;
+
     public static void main(String[] args) throws Exception {
         Rig rig = new Rig();
-        AtomicInteger allowed = new AtomicInteger();
-        AtomicInteger elsewhere = new AtomicInteger();
-        Engine large = new Engine(rig, "s-large", r -> {
-            allowed.incrementAndGet();
-            r.done(300);
-        });
-        Engine.Handler others = r -> {
-            elsewhere.addAndGet(r.queue().equals("report") ? 1 : 0);
-            r.done(300);
+        Map<String, String> zoneOf = new LinkedHashMap<>(Map.of("s-e1", "east", "s-e2", "east", "s-w1", "west", "s-w2", "west"));
+        String joiningZone = Rig.TROUBLE ? "central" : "west";
+        zoneOf.put("s-j1", joiningZone);
+        zoneOf.put("s-j2", joiningZone);
+        Map<String, Set<String>> appliedIn = new ConcurrentHashMap<>();
+        Engine.Handler handler = r -> {
+            String zone = zoneOf.get(r.connection.engine());
+            Set<String> zones = appliedIn.computeIfAbsent(r.fields.get("uniq"), k -> Collections.synchronizedSet(new TreeSet<>()));
+            boolean first = zones.isEmpty();
+            rig.log(r.connection.engine() + " in zone " + zone + (zones.add(zone) ? " applies " : " drops the repeat of ")
+                    + r.fields.get("uniq"));
+            if (first) {
+                r.answer(2500, "BROKE", "-", ""); // an error: it may have run, and it has
+            } else {
+                r.done(100);
+            }
         };
-        Engine standard = new Engine(rig, "s-standard", others);
-        Engine joining = new Engine(rig, "s-joining", others);
+        Map<String, Engine> engines = new LinkedHashMap<>();
+        for (String id : new TreeSet<>(zoneOf.keySet())) {
+            engines.put(id, new Engine(rig, id, handler));
+        }
         ChangeLog log = new ChangeLog(rig);
-        log.add(large.member("head-office", "large-16", 0, "up"), standard.member("head-office", "standard-12", 0, "up"));
+        log.add(engines.values().stream().filter(e -> !e.id.startsWith("s-j"))
+                .map(e -> e.member(zoneOf.get(e.id), "large-16", 0, "up")).toArray(String[]::new));
         int port = rig.freePort();
         Path config = rig.tmp.resolve("config.json");
         Settings settings = new Settings();
-        settings.classes = Settings.requestClass("lookup", 800, 4000, 1, "safe", "all", "") + ","
-                + Settings.requestClass("report", 3000, 15000, 7.5, "safe", "all", ",\"servedOn\":[\"large-16\"]");
+        settings.localities = "\"east\",\"west\"";
+        settings.classes = Settings.requestClass("lookup", 1500, 7500, 1, "safe", "all", "") + ","
+                + Settings.requestClass("sales-load", 3000, 20000, 5, "keyed", "zone", "");
         settings.threads = "1,2";
-        settings.writesTables = "false,false";
+        settings.writesTables = "false,true";
         settings.waitsForLoads = "false,false";
         Files.writeString(config, settings.text(port, log.address(), log.since(0)));
         Rig.FrontEnd frontEnd = rig.new FrontEnd("front-end", port, config, "");
@@ -38,20 +59,22 @@
 
         Client client = new Client(rig, "client", port);
         List<CompletableFuture<Client.Answer>> answers = new ArrayList<>();
-        for (int i = 0; i < 60; i++) {
-            if (i == 20) {
-                log.add(joining.member("head-office", Rig.TROUBLE ? "large-24" : "standard-12", 0, "up"));
-            }
-            answers.add(client.call(Client.fields("report", "departures-main", 15000, 500), "select 1 from sales_" + i + ".orders"));
-            rig.sleep(200);
+        for (int i = 0; i < REQUESTS; i++) {
+            Map<String, String> fields = Client.fields("sales-load", "departures-main", 18000, 1500);
+            fields.put("unique", String.format("%032x", i + 1));
+            answers.add(client.call(fields, "insert into sales_" + i + ".orders values (" + i + ")"));
         }
+        rig.sleep(700);
+        log.add(engines.values().stream().filter(e -> e.id.startsWith("s-j"))
+                .map(e -> e.member(joiningZone, "large-16", 0, "up")).toArray(String[]::new));
         for (CompletableFuture<Client.Answer> answer : answers) {
-            answer.get(20, TimeUnit.SECONDS);
+            answer.get(25, TimeUnit.SECONDS);
         }
-        if (allowed.get() == 0) {
-            rig.end(2, "no report reached the engine that it may run on");
+        appliedIn.forEach((key, zones) -> rig.log("request " + key + " was applied in " + zones));
+        if (appliedIn.size() < REQUESTS) {
+            rig.end(2, "only " + appliedIn.size() + " requests reached an engine");
         }
-        rig.end(elsewhere.get() > 0 ? 1 : 0, elsewhere + " of " + answers.size() + " reports reached an engine whose kind is not among"
-                + " those that the class names, " + allowed + " the one that it may run on");
+        long twice = appliedIn.values().stream().filter(zones -> zones.size() > 1).count();
+        rig.end(twice > 0 ? 1 : 0, twice + " of " + REQUESTS + " keyed requests were applied in two zones");
     }
 }
