--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/standins-2"
 rm -rf target
 mkdir target
-javac -encoding UTF-8 -Xlint:all -d target src/*.java
+javac --release 17 -encoding UTF-8 -Xlint:all -d target src/*.java
