Keep polls of the change log open when their answers are late

Cause: a poll was given up 2 s after it was sent (1.1 s before the first answer), its connection closed, and the next one began from nothing. An answer that takes longer could never arrive.

Change: the next poll follows at the same time, but the earlier one stays open on a connection of its own. The first answer counts and ends the polls before it; at most five are open, of which the oldest is kept. This works because no answer is thrown away any more, while a silent connection is still noticed as soon as before.

--- a/frontend/src/main/java/quincespar/membership/Membership.java
+++ b/frontend/src/main/java/quincespar/membership/Membership.java
@@ -8,11 +8,14 @@
 import quincespar.protocol.FleetEvent.Member;
 
 /**
- * Follows the change log. At any time either one poll is open, or a pause runs after a failed one: never neither, as the list
+ * Follows the change log. At any time either a poll is awaited, or a pause runs after a failed one: never neither, as the list
  * would then never change again, and never both. Each poll and each timer has a number of its own, so that what arrives late
  * (an answer from the old address, a timer that had fired when it was stopped) can be told from what is awaited. Times are
  * milliseconds on one clock that never runs backwards.
  *
+ * <p>A poll whose answer does not come in time is followed by another one, but stays open: a change log that is slow for
+ * longer than that would else never be heard. Whichever is answered first counts, and ends those sent before it.
+ *
  * <p>Losing the change log does not stop the service: the list stays as it was, its age is known ({@link #ageMs}), and it is
  * logged once when that exceeds {@link PollTiming#staleAfterMs}.
  */
@@ -26,8 +29,8 @@
      */
     public record Poll(long pollId, String address, long afterEvent, long waitMs, double connectTimeoutMs) implements Action { }
 
-    /** Abandon the open poll, and close its connection. */
-    public record CancelPoll() implements Action { }
+    /** Abandon an open poll, and close its connection. */
+    public record CancelPoll(long pollId) implements Action { }
 
     /** Call {@link #timerFired} with this number after a delay. */
     public record StartTimer(long timerId, double delayMs) implements Action { }
@@ -59,6 +62,8 @@
 
     /** The wait of polls before the first answer: the list of the start may be old, and nothing is served without an answer. */
     private static final long FIRST_WAIT_MS = 100;
+    /** Open polls at most. They follow each other by over 2 s, so that each stays open for the 7 s after which events bind. */
+    static final int MAX_OPEN_POLLS = 5;
 
     private final PollTiming timing;
     private final Backoff backoff;
@@ -73,7 +78,10 @@
     /** The number beyond {@link #lastEvent} that an answer has claimed without its events, 0 where none has. */
     private long claimedEvent;
     private long lastId;
+    /** The last poll. */
     private long pollId;
+    /** Oldest first: those that were not answered in time, and while {@link Phase#POLLING} the last poll. */
+    private final List<Long> openPolls = new ArrayList<>();
     private long timerId;
     private boolean answeredOnce;
     private double pollWaitMs;
@@ -103,46 +111,71 @@
     }
 
     /**
-     * A complete answer to a poll: events up to and with number {@code seq}. An answer to an earlier poll is ignored. If
+     * A complete answer to a poll: events up to and with number {@code seq}. An answer to a poll that is not open is ignored. If
      * {@code seq} is beyond the events, they are polled for at once, and from then on after pauses, as such a change log
      * would answer each poll at once. The same holds for one that answers without news long before its wait is over.
      */
     public List<Action> answered(double time, long answeredPoll, long seq, List<FleetEvent> events) {
         now = Math.max(now, time);
-        if (phase == Phase.POLLING && answeredPoll == pollId) {
-            boolean early = now - polledAt < pollWaitMs / 2;
-            long lastEventBefore = lastEvent;
-            if (failuresInARow > 0) {
-                actions.add(new Log("the change log answers again after " + failuresInARow + " failures and "
-                        + Math.round(ageMs(now)) + " ms; the list holds " + members.all().size() + " engines"));
-            }
-            failuresInARow = 0;
-            backoff.reached();
-            grace.answered();
-            staleLogged = false;
-            answeredOnce = true;
-            answeredAt = now;
-            actions.add(new StopTimer(timerId));
-            apply(events);
-            boolean fruitless = seq > lastEvent ? seq == claimedEvent : early && lastEvent == lastEventBefore;
-            if (!fruitless) {
-                backoff.reset();
-            }
-            claimedEvent = seq > lastEvent ? seq : 0;
-            if (fruitless) {
-                pause(backoff.pauseAfterFruitlessPollMs());
-            } else {
-                poll();
-            }
-            updateHold();
+        if (openPolls.contains(answeredPoll)) {
+            cancelPollsBefore(answeredPoll);
+            openPolls.remove(answeredPoll);
+            answerReceived(seq, events, awaited(answeredPoll));
         }
         return takeActions();
     }
 
+    private void answerReceived(long seq, List<FleetEvent> events, boolean awaited) {
+        boolean early = awaited && now - polledAt < pollWaitMs / 2;
+        long lastEventBefore = lastEvent;
+        if (failuresInARow > 0) {
+            actions.add(new Log("the change log answers again after " + failuresInARow + " failures and "
+                    + Math.round(ageMs(now)) + " ms; the list holds " + members.all().size() + " engines"));
+        }
+        failuresInARow = 0;
+        backoff.reached();
+        grace.answered();
+        staleLogged = false;
+        answeredOnce = true;
+        answeredAt = now;
+        apply(events);
+        boolean fruitless = seq > lastEvent ? seq == claimedEvent : early && lastEvent == lastEventBefore;
+        if (!fruitless) {
+            backoff.reset();
+        }
+        claimedEvent = seq > lastEvent ? seq : 0;
+        if (awaited || phase == Phase.PAUSING) {
+            actions.add(new StopTimer(timerId));
+            pollAgain(fruitless);
+        }
+        updateHold();
+    }
+
+    private void pollAgain(boolean fruitless) {
+        if (fruitless) {
+            pause(backoff.pauseAfterFruitlessPollMs());
+        } else {
+            poll();
+        }
+    }
+
+    /** What was asked for before an answered poll has nothing to tell that its answer has not told. */
+    private void cancelPollsBefore(long answeredPoll) {
+        while (openPolls.get(0) < answeredPoll) {
+            actions.add(new CancelPoll(openPolls.remove(0)));
+        }
+    }
+
+    /** Whether this poll's answer, or its failure, decides when the next poll is sent. */
+    private boolean awaited(long poll) {
+        return phase == Phase.POLLING && poll == pollId;
+    }
+
     /** A poll has failed, or its connection has. */
     public List<Action> failed(double time, long failedPoll, PollFailure failure, String cause) {
         now = Math.max(now, time);
-        if (phase == Phase.POLLING && failedPoll == pollId) {
+        openPolls.remove(failedPoll);
+        if (awaited(failedPoll)) { // else another poll is open, or follows a pause
             pollFailed(failure, cause);
             updateHold();
         }
@@ -173,7 +206,8 @@
         address = newAddress;
         backoff.reset();
         actions.add(new StopTimer(timerId));
-        actions.add(new CancelPoll());
+        openPolls.forEach(poll -> actions.add(new CancelPoll(poll)));
+        openPolls.clear();
         poll();
         return takeActions();
     }
@@ -234,9 +268,14 @@
     }
 
     private void poll() {
+        if (openPolls.size() == MAX_OPEN_POLLS) {
+            // the oldest stays open, as the change log may take longer than the others are kept
+            actions.add(new CancelPoll(openPolls.remove(1)));
+        }
         phase = Phase.POLLING;
         polledAt = now;
         pollId = ++lastId;
+        openPolls.add(pollId);
         long waitMs = answeredOnce ? timing.waitMs() : Math.min(FIRST_WAIT_MS, timing.waitMs());
         pollWaitMs = waitMs;
         actions.add(new Poll(pollId, address, lastEvent, waitMs, backoff.connectTimeoutMs()));
@@ -253,7 +292,6 @@
         actions.add(new Log("change log: poll " + pollId + " from event " + lastEvent + " failed after "
                 + Math.round(now - polledAt) + " ms, failure " + failuresInARow + " in a row: " + cause));
         actions.add(new StopTimer(timerId));
-        actions.add(new CancelPoll());
         if (ageMs(now) > timing.staleAfterMs() && !staleLogged) {
             staleLogged = true;
             actions.add(new Log("the change log has not answered for " + Math.round(ageMs(now) / 1000)
--- a/frontend/src/main/java/quincespar/program/FrontEnd.java
+++ b/frontend/src/main/java/quincespar/program/FrontEnd.java
@@ -545,8 +545,8 @@
             keyLocks.unlock(e);
         } else if (effect instanceof Effect.ReadFleetState) {
             readFleetState();
-        } else if (effect instanceof Effect.CancelPoll) {
-            changeLogClient.disconnect();
+        } else if (effect instanceof Effect.CancelPoll e) {
+            changeLogClient.cancel(e.pollId());
         } else if (effect instanceof Effect.Log e) {
             log.info("{}: {}", configuration.name(), e.line());
         } else if (effect instanceof Effect.Trace e && log.isDebugEnabled()) {
--- a/frontend/src/main/java/quincespar/program/engines/ChangeLogClient.java
+++ b/frontend/src/main/java/quincespar/program/engines/ChangeLogClient.java
@@ -2,8 +2,8 @@
 
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
-import java.util.Queue;
-import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
 import quincespar.membership.PollFailure;
 import quincespar.program.runtime.Addresses;
@@ -17,17 +17,20 @@
 import quincespar.transport.OutboxLimit;
 
 /**
- * Polls the change log over HTTP/1.1. It reuses its connection until that is closed, and posts the answers and failures as
- * inputs. Its methods must be called from one thread.
+ * Polls the change log over HTTP/1.1, and posts the answers and failures as inputs. Each open poll has a connection to itself,
+ * as an answer that is late would hold up those behind it; a connection whose poll was answered is used again. Its methods must
+ * be called from one thread.
  */
 public final class ChangeLogClient {
     private static final int OUTBOX_BYTES = 64 * 1024;
     private static final int HTTP_OK = 200;
+    /** No poll has this number. */
+    private static final long NO_POLL = 0;
 
     private final OutboxLimit outboxLimit = new OutboxLimit(OUTBOX_BYTES, OUTBOX_BYTES);
     private final EventLoop loop;
     private final Consumer<Input> post;
-    private Session current;
+    private final List<Session> sessions = new CopyOnWriteArrayList<>();
 
     /** Creates a client without a connection; {@code post} receives the inputs. */
     public ChangeLogClient(EventLoop loop, Consumer<Input> post) {
@@ -35,19 +38,33 @@
         this.post = post;
     }
 
-    /** Sends a poll, on a new connection if there is none that takes it. */
+    /** Sends a poll, on a new connection if there is none without an open poll; of those without one, others are closed. */
     public void poll(Effect.PollChangeLog e) {
-        if (current == null || !current.poll(e)) {
-            current = new Session(Addresses.parse(e.address()), e.pollId(), e.connectTimeoutMs());
-            current.poll(e);
+        InetSocketAddress address = Addresses.parse(e.address());
+        boolean sent = false;
+        for (Session session : sessions) {
+            if (session.openPoll != NO_POLL) {
+                continue;
+            }
+            if (!sent && session.address.equals(address) && session.poll(e)) {
+                sent = true;
+            } else {
+                session.connection.close("not needed");
+            }
+        }
+        if (!sent) {
+            Session session = new Session(address);
+            sessions.add(session);
+            session.connect(e);
         }
     }
 
-    /** Closes the connection, which fails an open poll. */
-    public void disconnect() {
-        if (current != null) {
-            current.connection.close("given up");
-            current = null;
+    /** Closes the connection of an open poll. */
+    public void cancel(long pollId) {
+        for (Session session : sessions) {
+            if (session.openPoll == pollId) {
+                session.connection.close("given up");
+            }
         }
     }
 
@@ -55,27 +72,30 @@
     private final class Session implements Connection.Handler {
         private final ResponseDecoder decoder = new ResponseDecoder();
         private final InetSocketAddress address;
-        private final Connection connection;
-        /** Ids of the open polls, oldest first: HTTP answers come in the order of the requests. */
-        private final Queue<Long> openPolls = new ConcurrentLinkedQueue<>();
-        /** Id of the last poll; it is reported as failed when the connection is closed. */
-        private volatile long lastPollId;
+        private final Connection connection = Connection.outbound(loop, "changes", outboxLimit);
+        /** Id of the poll that waits for its answer; it is reported as failed when the connection is closed. */
+        private volatile long openPoll = NO_POLL;
         private volatile boolean established;
 
-        /** Sets the poll id before connecting: the connection may be refused before the poll is sent. */
-        Session(InetSocketAddress address, long firstPollId, double connectTimeoutMs) {
+        Session(InetSocketAddress address) {
             this.address = address;
-            lastPollId = firstPollId;
-            connection = Connection.outbound(loop, "changes", outboxLimit);
-            connection.connect(address, this, Math.round(connectTimeoutMs));
         }
 
-        boolean poll(Effect.PollChangeLog e) {
-            lastPollId = e.pollId();
-            openPolls.add(lastPollId);
+        /** Sets the poll before connecting: the connection may be refused before the poll is sent. */
+        void connect(Effect.PollChangeLog e) {
+            openPoll = e.pollId();
+            connection.connect(address, this, Math.round(e.connectTimeoutMs()));
+            poll(e);
+        }
+
+        /** False if the connection is closed. */
+        synchronized boolean poll(Effect.PollChangeLog e) {
+            openPoll = e.pollId();
             String request = "GET /changes?since=" + e.afterEvent() + "&timeout=" + e.waitMs() + " HTTP/1.1\r\nHost: "
                     + address.getHostString() + ":" + address.getPort() + "\r\nAccept: application/json\r\n\r\n";
-            return connection.send(request.getBytes(StandardCharsets.US_ASCII));
+            boolean sent = connection.send(request.getBytes(StandardCharsets.US_ASCII));
+            openPoll = sent ? openPoll : NO_POLL; // its end must not be reported here if it is sent elsewhere
+            return sent;
         }
 
         @Override
@@ -88,7 +108,7 @@
             try {
                 decoder.feed(bytes, count, this::handleResponse);
             } catch (MalformedException e) { // the reducer polls again after a delay and keeps the current list
-                post.accept(new Input.PollFailed(lastPollId, PollFailure.NO_ANSWER, e.getMessage()));
+                reportFailure(PollFailure.NO_ANSWER, e.getMessage());
                 connection.close("malformed");
             }
         }
@@ -98,16 +118,26 @@
                 throw new MalformedException("status " + response.status());
             }
             ChangeLogCodec.Changes changes = ChangeLogCodec.read(response.body());
-            Long pollId = openPolls.poll();
-            if (pollId == null) {
+            long pollId = openPoll;
+            if (pollId == NO_POLL) {
                 throw new MalformedException("response without a request");
             }
+            openPoll = NO_POLL;
             post.accept(new Input.ChangesReceived(pollId, changes.seq(), changes.events()));
         }
 
         @Override
         public void closed(String cause) {
-            post.accept(new Input.PollFailed(lastPollId, failureOf(cause), cause));
+            sessions.remove(this);
+            reportFailure(failureOf(cause), cause);
+        }
+
+        private synchronized void reportFailure(PollFailure failure, String cause) {
+            long pollId = openPoll;
+            openPoll = NO_POLL;
+            if (pollId != NO_POLL) {
+                post.accept(new Input.PollFailed(pollId, failure, cause));
+            }
         }
 
         private PollFailure failureOf(String cause) {
--- a/frontend/src/main/java/quincespar/routing/ClusterState.java
+++ b/frontend/src/main/java/quincespar/routing/ClusterState.java
@@ -104,8 +104,8 @@
             if (action instanceof Membership.Poll a) {
                 context.addEffect(new Effect.PollChangeLog(a.pollId(), a.address(), a.afterEvent(), a.waitMs(),
                         a.connectTimeoutMs()));
-            } else if (action instanceof Membership.CancelPoll) {
-                context.addEffect(new Effect.CancelPoll());
+            } else if (action instanceof Membership.CancelPoll a) {
+                context.addEffect(new Effect.CancelPoll(a.pollId()));
             } else if (action instanceof Membership.StartTimer a) {
                 context.startTimer(new TimerKey.ChangeLogTimer(a.timerId()), a.delayMs());
             } else if (action instanceof Membership.StopTimer a) {
--- a/frontend/src/main/java/quincespar/routing/Effect.java
+++ b/frontend/src/main/java/quincespar/routing/Effect.java
@@ -63,8 +63,8 @@
     /** New settings are in force: requests are read by them from now on. */
     record ApplySettings(RoutingSettings settings) implements Effect { }
 
-    /** Abandon the open poll of the change log. */
-    record CancelPoll() implements Effect { }
+    /** Abandon an open poll of the change log, and close its connection. */
+    record CancelPoll(long pollId) implements Effect { }
 
     /** Append an entry to the recovery journal; the request, where that is not 0, waits for {@link Input.PersistFinished}. */
     record PersistEntry(JournalEntry entry, long request) implements Effect { }
--- a/frontend/src/test/java/quincespar/program/ConnectionEndTest.java
+++ b/frontend/src/test/java/quincespar/program/ConnectionEndTest.java
@@ -578,6 +578,26 @@
         for (int i = 0; i < 3; i++) {
             changes.answers.add(drain); // the abandoned polls are answered too, when nobody reads them any more
         }
+        assertNewWorkGoesToTheNewEngine(c, old);
+    }
+
+    /** Guards against a change log that is never heard because each of its answers comes later than a poll is waited for. */
+    @Test
+    void aDrainIsLearnedThoughEachAnswerOfTheChangeLogComesLate() throws Exception {
+        ScriptedPeers.Engine old = new ScriptedPeers.Engine();
+        start(NO_IDLE_TIMEOUT + "change-log {\n wait 200ms\n slack 100ms\n}\n", old.server.getLocalPort(),
+                "\"cancelling\":true", LOAD);
+        ScriptedPeers.Client c = client();
+        changes.answerDelayMs = 900; // three times what a poll is waited for
+        String drain = changes(2, member("s-1", "draining", old.server.getLocalPort()),
+                member("s-2", "up", engine.server.getLocalPort()));
+        for (int i = 0; i < 50; i++) { // for each poll
+            changes.answers.add(drain);
+        }
+        assertNewWorkGoesToTheNewEngine(c, old);
+    }
+
+    private void assertNewWorkGoesToTheNewEngine(ScriptedPeers.Client c, ScriptedPeers.Engine old) throws Exception {
         awaitCounter(c, "held.engines", "2");
         c.call(1, request("load", 1));
         answerDone(engine.next("serve"));
--- a/frontend/src/test/java/quincespar/program/ScriptedPeers.java
+++ b/frontend/src/test/java/quincespar/program/ScriptedPeers.java
@@ -285,6 +285,8 @@
         final BlockingQueue<String> answers = new LinkedBlockingQueue<>();
         final BlockingQueue<String> polls = new LinkedBlockingQueue<>();
         final ServerSocket server = listen(this::play);
+        /** How much later each answer leaves. */
+        volatile long answerDelayMs;
 
         ChangeLog() throws IOException { }
 
@@ -297,6 +299,7 @@
                 }
                 try {
                     byte[] body = answer(poll).getBytes(StandardCharsets.US_ASCII);
+                    Thread.sleep(answerDelayMs);
                     OutputStream out = s.getOutputStream();
                     out.write(("HTTP/1.1 200 OK\r\nContent-Length: " + body.length + "\r\n\r\n").getBytes(
                             StandardCharsets.US_ASCII));
