Log and count when clients' connections wait to be accepted

Change: counters callers.accept.pauses and .accept.paused.ms; a log line when the limit on connections is reached, at most once a second, and one when a pause of a second or more ends.

The log now says "115 connections of clients, the limit" 90 ms after the bad clients have connected, and "accepted again after 8390 ms". The ten requests were written within that pause, 1.0 to 1.5 s after its begin; nine were served within 16 ms after its end, the tenth after the next pause. They waited to be accepted.

--- a/frontend/src/main/java/quincespar/program/clients/ThriftServer.java
+++ b/frontend/src/main/java/quincespar/program/clients/ThriftServer.java
@@ -65,6 +65,7 @@
     /** Messages of one connection that are handled in one pass, so that other connections wait for no more than that. */
     private static final int MAX_MESSAGES_PER_PASS = 64;
     private static final int MAX_OPEN_HEALTH_CALLS = 64;
+    private static final long ACCEPT_PAUSE_LOG_INTERVAL_MS = 1000;
     private static final byte[] NO_BYTES = {};
     /** How long a connection that may send no further message now is left unread. */
     private static final long EXCESS_PAUSE_MS = 10;
@@ -93,6 +94,9 @@
     /** Time after which a partly received request no longer keeps its connection busy. */
     private final double requestReadTimeoutMs;
     private volatile int connectionLimit;
+    /** Used on the loop's thread only, as is the next one. */
+    private double acceptPausedAt;
+    private double acceptPauseLoggedAt = Double.NEGATIVE_INFINITY;
     /** Whether connections are closed as soon as they are idle, because another process takes over the clients. */
     private volatile boolean closingIdle;
 
@@ -142,6 +146,25 @@
         return sessions.size() < connectionLimit;
     }
 
+    @Override
+    public void acceptingPaused() {
+        counters.count(Counters.Count.CALLERS_ACCEPT_PAUSES);
+        acceptPausedAt = clock.now();
+        if (acceptPausedAt - acceptPauseLoggedAt >= ACCEPT_PAUSE_LOG_INTERVAL_MS) {
+            acceptPauseLoggedAt = acceptPausedAt;
+            log.info("{} connections of clients, the limit; new ones wait to be accepted", sessions.size());
+        }
+    }
+
+    @Override
+    public void acceptingResumed() {
+        long pausedMs = Math.round(clock.now() - acceptPausedAt);
+        counters.add(Counters.Count.CALLERS_ACCEPT_PAUSED_MS, pausedMs);
+        if (pausedMs >= ACCEPT_PAUSE_LOG_INTERVAL_MS) {
+            log.info("connections of clients are accepted again after {} ms", pausedMs);
+        }
+    }
+
     @Override
     public void accept(SocketChannel channel) {
         long number = connectionNumbers.incrementAndGet();
--- a/frontend/src/main/java/quincespar/transport/Listener.java
+++ b/frontend/src/main/java/quincespar/transport/Listener.java
@@ -18,6 +18,12 @@
         /** Whether one more connection can be accepted; if not, others wait in the accept queue until {@link #resume}. */
         boolean hasCapacity();
 
+        /** No connection is accepted from now on, for lack of capacity. */
+        default void acceptingPaused() { }
+
+        /** Connections are accepted again. */
+        default void acceptingResumed() { }
+
         /** Takes ownership of an accepted channel. */
         void accept(SocketChannel channel);
     }
@@ -49,6 +55,7 @@
     };
     private SelectionKey key;
     private Acceptor acceptor;
+    private boolean paused;
 
     /** Creates an unbound listener; with {@code shared} other processes of this user may listen on the address too. */
     public Listener(EventLoop loop, InetSocketAddress address, boolean shared) throws IOException {
@@ -95,6 +102,10 @@
         loop.execute(() -> {
             if (key != null && key.isValid() && acceptor.hasCapacity()) {
                 key.interestOps(SelectionKey.OP_ACCEPT);
+                if (paused) {
+                    paused = false;
+                    acceptor.acceptingResumed();
+                }
             }
         });
     }
@@ -103,6 +114,8 @@
         for (int i = 0; i < max; i++) {
             if (!acceptor.hasCapacity()) {
                 key.interestOps(0);
+                paused = true;
+                acceptor.acceptingPaused();
                 return;
             }
             AcceptResult result = acceptOne();
