Answer requests on connections beyond the limit instead of letting them wait

Cause: at 45 % of the descriptors nothing more was accepted, and only connections without an open request were closed to make room. The machine accepts connections all the same, and their requests count as taken. Evidence: accepting paused at 115 connections for 8,390 ms, before the ten requests were written; nine were served within 16 ms after its end.

Change: the limit is one on connections with open requests, and 3 % more are accepted. A request on such a connection displaces the connection with most open requests, if it has over three; those are refused, or fail if they may have run. Else the request is refused and its connection closed 30 ms later. At the limit a connection may have three requests open. An idle connection beyond the limit is closed after 30 ms, and one whose client always sends on at the sixth try. This works because a place beyond the limit is never kept by a request, so that the accept queue moves on.

--- a/frontend/src/main/java/quincespar/program/FrontEnd.java
+++ b/frontend/src/main/java/quincespar/program/FrontEnd.java
@@ -72,13 +72,14 @@
     /** How long a start waits for the change log's first answer. */
     private static final double FIRST_LIST_TIMEOUT_MS = 1500;
     private static final long LIST_CHECK_INTERVAL_MS = 20;
-    /** Share of the descriptors for clients: a third by the protocol, the rest for closing connections and our own. */
-    private static final double CLIENT_SHARE = 0.45;
+    /** Share, and least number, of the descriptors for connections beyond the limit on busy ones, whose requests are refused. */
+    private static final double SPARE_CONNECTION_SHARE = 0.03;
+    private static final int MIN_SPARE_CONNECTIONS = 4;
     /**
-     * The same during an upgrade, while an older process holds part of the front end's descriptors until it ends: what clients
-     * may hold by the protocol, and a lower share from which idle connections are closed for new ones.
+     * Shares of the descriptors during an upgrade, while an older process holds part of them until it ends: for connections with
+     * open requests what clients may hold by the protocol, and a lower share from which idle ones are closed for new ones.
      */
-    private static final double UPGRADE_CLIENT_SHARE = 1 / 3.0, UPGRADE_CALLER_SHARE = 0.3;
+    private static final double UPGRADE_BUSY_SHARE = 1 / 3.0, UPGRADE_CALLER_SHARE = 0.3;
     private static final double OTHERS_CHECK_INTERVAL_MS = 500;
     /** Time limit for closing the fleet service and the recovery journal, after all clients have their answers. */
     private static final long CLOSE_TIMEOUT_MS = 100;
@@ -163,7 +164,7 @@
             status = null;
         }
         listener = new Listener(clientLoop, c.listen(), true);
-        thriftServer = new ThriftServer(clientLoop, listener, c.site(), (int) (c.sockets() * CLIENT_SHARE),
+        thriftServer = new ThriftServer(clientLoop, listener, c.site(), connectionLimit(bounds.maxBusyCallers()),
                 bounds.firstRequestMs(), settings.count(Keyword.CLIENTS_MESSAGE_RATE),
                 settings.count(Keyword.CLIENTS_SHARED_MESSAGE_RATE), clock, counters, inputs::addFromClient, this::allCounters,
                 txn -> startedTransactions != null && startedTransactions.startedByOther(txn));
@@ -298,8 +299,7 @@
         boolean besideOlderProcess = processLocks.othersAlive();
         if (besideOlderProcess) {
             int callerLimit = (int) (configuration.sockets() * UPGRADE_CALLER_SHARE);
-            inputs.add(new Input.CallerLimitChanged(Math.min(bounds.maxCallers(), callerLimit)));
-            thriftServer.setConnectionLimit((int) (configuration.sockets() * UPGRADE_CLIENT_SHARE));
+            limitConnections(Math.min(bounds.maxCallers(), callerLimit), (int) (configuration.sockets() * UPGRADE_BUSY_SHARE));
             inputs.add(new Input.OtherProcesses(true, true));
         }
         watchOtherProcesses(besideOlderProcess, besideOlderProcess);
@@ -371,11 +371,20 @@
     /** Sets the full limits, as the older process has ended. */
     private void raiseLimits() {
         if (lifecycle.phase().compareTo(Phase.SERVING) <= 0) {
-            inputs.add(new Input.CallerLimitChanged(bounds.maxCallers()));
-            thriftServer.setConnectionLimit((int) (configuration.sockets() * CLIENT_SHARE));
+            limitConnections(bounds.maxCallers(), bounds.maxBusyCallers());
         }
     }
 
+    private void limitConnections(int maxCallers, int maxBusyCallers) {
+        inputs.add(new Input.CallerLimitChanged(maxCallers, maxBusyCallers));
+        thriftServer.setConnectionLimit(connectionLimit(maxBusyCallers));
+    }
+
+    /** How many connections of clients may be open where that many of them may have requests open. */
+    private int connectionLimit(int maxBusyCallers) {
+        return maxBusyCallers + Math.max(MIN_SPARE_CONNECTIONS, (int) (configuration.sockets() * SPARE_CONNECTION_SHARE));
+    }
+
     /** Publishes the reducer's state for other threads. */
     private void publish() {
         lifecycle.setEngineAvailable(reducer.canServe());
@@ -523,6 +532,8 @@
             changeLogClient.poll(e);
         } else if (effect instanceof Effect.CloseCaller e) {
             thriftServer.closeCaller(e);
+        } else if (effect instanceof Effect.EndCaller e) {
+            thriftServer.endCaller(e);
         } else if (effect instanceof Effect.UnexpectedError e) {
             reportError(e.activity(), e.error());
         } else if (effect instanceof Effect.ReloadConfiguration e) {
--- a/frontend/src/main/java/quincespar/program/clients/ThriftServer.java
+++ b/frontend/src/main/java/quincespar/program/clients/ThriftServer.java
@@ -194,6 +194,14 @@
         }
     }
 
+    /** Closes a client's connection once its open requests are answered. */
+    public void endCaller(Effect.EndCaller e) {
+        Session session = sessions.get(e.connection());
+        if (session != null) {
+            loop.execute(session::endOnceAnswered);
+        }
+    }
+
     /** The memory reserved for long frames that are partly received. */
     public long partialFrameBytes() {
         return frameMemory.reservedBytes();
@@ -474,8 +482,8 @@
         }
 
         /**
-         * Ends the connection once its open requests are answered, because no further message can be found in its input. It is
-         * read on, as only that shows whether the client disconnects.
+         * Ends the connection once its open requests are answered, because no further message can be found in its input, or its
+         * place is needed. It is read on, as only that shows whether the client disconnects.
          */
         private void endOnceAnswered() {
             ending = true; // from here on, a reply on another thread may finish the connection
--- a/frontend/src/main/java/quincespar/routing/Bounds.java
+++ b/frontend/src/main/java/quincespar/routing/Bounds.java
@@ -3,10 +3,11 @@
 import quincespar.membership.PollTiming;
 
 /**
- * Limits on what clients and links may use; times in milliseconds. {@code maxCallers} and {@code maxRequests} depend on the
- * descriptors and the memory that the process has.
+ * Limits on what clients and links may use; times in milliseconds. {@code maxCallers}, {@code maxBusyCallers} and
+ * {@code maxRequests} depend on the descriptors and the memory that the process has.
  *
- * @param maxCallers       client connections
+ * @param maxCallers       client connections; beyond that a new one takes the place of an unused or idle one
+ * @param maxBusyCallers   client connections with open requests
  * @param maxRequests      open requests of all clients together
  * @param maxRequestBytes  memory of the requests of all clients together, statements included
  * @param firstRequestMs   a client that has sent no complete request by then is disconnected
@@ -18,8 +19,8 @@
  *                         follow on its link
  * @param polling          how the change log is polled
  */
-public record Bounds(int maxCallers, int maxRequests, long maxRequestBytes, double firstRequestMs, double callerIdleMs,
-        int maxLinksPerEngine, int maxSharedPerLink, double partialMessageMs, PollTiming polling) {
+public record Bounds(int maxCallers, int maxBusyCallers, int maxRequests, long maxRequestBytes, double firstRequestMs,
+        double callerIdleMs, int maxLinksPerEngine, int maxSharedPerLink, double partialMessageMs, PollTiming polling) {
     /** At about 2 KB a request, with a short statement and bookkeeping, this is a sixteenth of the memory. */
     private static final int REQUESTS_PER_MB = 32;
     private static final int MIN_REQUESTS = 64;
--- a/frontend/src/main/java/quincespar/routing/CallerConnections.java
+++ b/frontend/src/main/java/quincespar/routing/CallerConnections.java
@@ -6,8 +6,15 @@
 import java.util.Map;
 import java.util.Set;
 
-/** The clients' connections: what is open on each, and which could be closed to make room for another. */
+/**
+ * The clients' connections: what is open on each, and which could be closed to make room for another. The number of busy ones,
+ * which have requests open, is limited. At that limit a connection may be displaced: its requests are answered, and it is
+ * closed.
+ */
 final class CallerConnections {
+    /** Open requests on a connection that opens them while the limit on busy ones is reached; one with more may be displaced. */
+    static final int MAX_OPEN_AT_LIMIT = 3;
+
     /** A client's connection. */
     static final class CallerConnection {
         final long id;
@@ -16,6 +23,10 @@
         boolean inputUnread;
         /** Whether that has lasted so long that its requests are refused. */
         boolean inputUnreadTooLong;
+        /** Whether it is to be closed because its place is needed: no further request is opened on it. */
+        boolean displaced;
+        /** How often it was to be closed since then. */
+        int closeAttempts;
 
         CallerConnection(long id) {
             this.id = id;
@@ -27,20 +38,52 @@
     private final Set<CallerConnection> unused = new LinkedHashSet<>();
     /** Connections whose requests have all been answered, longest idle first. */
     private final Set<CallerConnection> idle = new LinkedHashSet<>();
+    private final Set<CallerConnection> displaced = new LinkedHashSet<>();
 
     int size() {
         return byId.size();
     }
 
+    /** How many connections there are without those that are displaced. */
+    int keptCount() {
+        return byId.size() - displaced.size();
+    }
+
+    /** How many connections have requests open. */
+    int busyCount() {
+        return keptCount() - unused.size() - idle.size();
+    }
+
+    /** The connection with most open requests, null where none has more than {@link #MAX_OPEN_AT_LIMIT}. */
+    CallerConnection busiest() {
+        CallerConnection busiest = null;
+        int mostOpen = MAX_OPEN_AT_LIMIT;
+        for (CallerConnection connection : byId.values()) {
+            if (connection.open.size() > mostOpen) {
+                busiest = connection;
+                mostOpen = connection.open.size();
+            }
+        }
+        return busiest;
+    }
+
+    void displace(CallerConnection connection) {
+        connection.displaced = true;
+        unused.remove(connection);
+        idle.remove(connection);
+        displaced.add(connection);
+    }
+
     CallerConnection get(long id) {
         return byId.get(id);
     }
 
-    void connected(long id) {
-        CallerConnection connection = new CallerConnection(id);
-        if (byId.putIfAbsent(id, connection) == null) {
+    CallerConnection connected(long id) {
+        return byId.computeIfAbsent(id, number -> {
+            CallerConnection connection = new CallerConnection(number);
             unused.add(connection);
-        }
+            return connection;
+        });
     }
 
     void requestOpened(OpenRequest request) {
@@ -53,7 +96,7 @@
     /** A request was answered without being opened, which shows that the connection is used. True where no request is open on it. */
     boolean requestNotOpened(long id) {
         CallerConnection connection = byId.get(id);
-        if (connection == null || !connection.open.isEmpty()) {
+        if (connection == null || connection.displaced || !connection.open.isEmpty()) {
             return false;
         }
         unused.remove(connection);
@@ -62,10 +105,10 @@
         return true;
     }
 
-    /** True where the connection has no other open request. */
+    /** True where the connection has no other open request, and is idle now. */
     boolean requestClosed(OpenRequest request) {
         CallerConnection connection = byId.get(request.caller.connection());
-        if (connection == null || !connection.open.remove(request) || !connection.open.isEmpty()) {
+        if (connection == null || !connection.open.remove(request) || !connection.open.isEmpty() || connection.displaced) {
             return false;
         }
         idle.add(connection);
@@ -76,6 +119,7 @@
         CallerConnection connection = byId.remove(id);
         unused.remove(connection);
         idle.remove(connection);
+        displaced.remove(connection);
         return connection;
     }
 
--- a/frontend/src/main/java/quincespar/routing/Effect.java
+++ b/frontend/src/main/java/quincespar/routing/Effect.java
@@ -19,6 +19,9 @@
     /** Close a client's connection, unless data has arrived on it that the reducer has not seen yet. */
     record CloseCaller(long connection, String cause) implements Effect { }
 
+    /** Close a client's connection once its open requests are answered; what its client sends from now on is not read. */
+    record EndCaller(long connection) implements Effect { }
+
     /** Connect to an engine. */
     record OpenLink(long link, String address) implements Effect { }
 
--- a/frontend/src/main/java/quincespar/routing/Input.java
+++ b/frontend/src/main/java/quincespar/routing/Input.java
@@ -83,8 +83,11 @@
     /** A poll of the change log had no answer, or one that can't be read. */
     record PollFailed(long pollId, PollFailure failure, String cause) implements Input { }
 
-    /** At most this many client connections may be held from now on; beyond it a new one displaces an unused one. */
-    record CallerLimitChanged(int maxCallers) implements Input { }
+    /**
+     * Beyond {@code maxCallers} connections of clients a new one takes the place of an unused or idle one from now on, and at most
+     * {@code maxBusyCallers} may have requests open.
+     */
+    record CallerLimitChanged(int maxCallers, int maxBusyCallers) implements Input { }
 
     /** The process ends at that time even if requests are open: each must be answered before. */
     record ShutdownScheduled(double time) implements Input { }
--- a/frontend/src/main/java/quincespar/routing/Reducer.java
+++ b/frontend/src/main/java/quincespar/routing/Reducer.java
@@ -217,7 +217,7 @@
         } else if (input instanceof Input.OtherProcesses i) {
             cluster.otherProcesses(i);
         } else if (input instanceof Input.CallerLimitChanged i) {
-            requests.limitCallers(i.maxCallers());
+            requests.limitCallers(i.maxCallers(), i.maxBusyCallers());
         } else if (input instanceof Input.ShutdownScheduled i) {
             requests.scheduleShutdown(i.time());
         } else if (input instanceof Input.RefuseNewRequests) {
--- a/frontend/src/main/java/quincespar/routing/Requests.java
+++ b/frontend/src/main/java/quincespar/routing/Requests.java
@@ -17,6 +17,10 @@
     /** No attempt may begin for longer than this after its client has left, which unread input may hide. */
     private static final double MAX_INPUT_UNREAD_MS = 100;
     private static final double LATE_ANSWER_LOG_INTERVAL_MS = 100;
+    /** When a connection beyond the limit on busy ones is closed: what its client has sent by then is answered, and it connects less often. */
+    private static final double SPARE_IDLE_MS = 30;
+    /** After that many times, a displaced connection whose client sends on is closed all the same. */
+    private static final int MAX_DISPLACED_CLOSE_ATTEMPTS = 5;
 
     private final Map<Long, OpenRequest> byId = new LinkedHashMap<>();
     private final Map<Caller, OpenRequest> unanswered = new LinkedHashMap<>();
@@ -34,7 +38,10 @@
     private final boolean locksKeys;
     private Attempts attempts;
     private int maxCallers;
+    private int maxBusyCallers;
     private int refusedForMemory;
+    private int refusedForPlace;
+    private int displacedCallers;
     private int answeredLate;
     private double lateAnswerLoggedAt = Double.NEGATIVE_INFINITY;
     private boolean refusing;
@@ -49,6 +56,7 @@
         this.locksKeys = locksKeys;
         memory = new RequestMemory(bounds.maxRequestBytes());
         maxCallers = bounds.maxCallers();
+        maxBusyCallers = bounds.maxBusyCallers();
     }
 
     void setAttempts(Attempts attempts) {
@@ -74,8 +82,9 @@
                 Math.round(orderingKeys.longestWaitMs(context.now)));
     }
 
-    void limitCallers(int max) {
+    void limitCallers(int max, int maxBusy) {
         maxCallers = max;
+        maxBusyCallers = maxBusy;
     }
 
     void refuseNew() {
@@ -97,6 +106,8 @@
         out.put("held.ordering-keys", orderingKeys.size());
         out.put("held.request-bytes", (int) memory.totalBytes());
         out.put("requests.refused_for_memory", refusedForMemory);
+        out.put("requests.refused_for_place", refusedForPlace);
+        out.put("callers.displaced", displacedCallers);
         out.put("answers.late", answeredLate);
     }
 
@@ -121,7 +132,9 @@
     /** A client's connection has had no open request for too long, or has not yet sent one. */
     void callerIdle(long connection) {
         CallerConnections.CallerConnection found = connections.get(connection);
-        if (found != null && found.open.isEmpty()) {
+        if (found != null && found.displaced) {
+            closeDisplaced(found);
+        } else if (found != null && found.open.isEmpty()) {
             closeCaller(connection, "nothing open");
         }
     }
@@ -129,7 +142,7 @@
     void callerConnected(long connection) {
         connections.connected(connection);
         context.startTimer(new TimerKey.CallerIdle(connection), bounds.firstRequestMs());
-        if (connections.size() > maxCallers) {
+        if (connections.keptCount() > maxCallers) {
             long leastNeeded = connections.leastNeeded(connection);
             closeCaller(leastNeeded, leastNeeded == connection ? "too many connections" : "its place is needed");
         }
@@ -140,10 +153,53 @@
      * none can be closed, the event loop and the reducer would repeat that for ever.
      */
     void callerNotClosed(long connection) {
+        CallerConnections.CallerConnection found = connections.get(connection);
+        if (found != null && found.displaced) {
+            context.startTimer(new TimerKey.CallerIdle(connection), SPARE_IDLE_MS);
+            return;
+        }
         connections.connected(connection);
         context.startTimer(new TimerKey.CallerIdle(connection), bounds.firstRequestMs());
     }
 
+    /** Closes a displaced connection if it is idle, and in the end also if its client always has more to send. */
+    private void closeDisplaced(CallerConnections.CallerConnection connection) {
+        connection.closeAttempts++;
+        context.addEffect(connection.closeAttempts > MAX_DISPLACED_CLOSE_ATTEMPTS ? new Effect.EndCaller(connection.id)
+                : new Effect.CloseCaller(connection.id, "its place is needed"));
+    }
+
+    /** Answers the open requests of a connection and closes it, as its place is needed. */
+    private void displace(CallerConnections.CallerConnection connection) {
+        displacedCallers++;
+        connections.displace(connection);
+        List.copyOf(connection.open).forEach(this::endUnserved);
+        context.startTimer(new TimerKey.CallerIdle(connection.id), SPARE_IDLE_MS);
+    }
+
+    /**
+     * Whether a request may be opened on its connection. Connections beyond the limit on busy ones are accepted all the same, so
+     * that their requests have an answer: such a connection is displaced, unless another has many requests open.
+     */
+    private boolean hasPlace(long id) {
+        CallerConnections.CallerConnection connection = connections.get(id);
+        if (connection != null && connection.displaced) {
+            return false;
+        }
+        if (connections.busyCount() < maxBusyCallers) {
+            return true;
+        }
+        if (connection == null) { // it was to be closed, and this request has come before that
+            connection = connections.connected(id);
+        }
+        if (!connection.open.isEmpty()) {
+            return connection.open.size() < CallerConnections.MAX_OPEN_AT_LIMIT;
+        }
+        CallerConnections.CallerConnection busiest = connections.busiest();
+        displace(busiest == null ? connection : busiest);
+        return busiest != null;
+    }
+
     private void closeCaller(long connection, String cause) {
         context.addEffect(new Effect.CloseCaller(connection, cause));
         callerDisconnected(connection);
@@ -171,6 +227,11 @@
             answerUnopened(input, new Reply.Refused(retryAfterMs));
             return;
         }
+        if (!hasPlace(input.caller().connection())) {
+            refusedForPlace++;
+            answerUnopened(input, new Reply.Refused(0));
+            return;
+        }
         OpenRequest request = open(input);
         request.awaitingInput = inputUnread(request);
         request.awaitingDisk = recovery.persists(request);
@@ -197,10 +258,16 @@
     /** A request on this connection was answered without being opened: the connection is in use for as long as after others. */
     void notOpened(long connection) {
         if (connections.requestNotOpened(connection)) {
-            context.startTimer(new TimerKey.CallerIdle(connection), bounds.callerIdleMs());
+            startIdleTimer(connection);
         }
     }
 
+    /** Beyond the limit on busy connections idle ones are closed soon, as new ones may wait to be accepted. */
+    private void startIdleTimer(long connection) {
+        context.startTimer(new TimerKey.CallerIdle(connection),
+                connections.keptCount() > maxBusyCallers ? SPARE_IDLE_MS : bounds.callerIdleMs());
+    }
+
     /** After how long the client of a request that must be refused may try again; NaN where it may be opened. */
     private double refusalRetryAfterMs(Input.RequestReceived input) {
         CallerConnections.CallerConnection connection = connections.get(input.caller().connection());
@@ -352,11 +419,15 @@
     /** Answers a request of which no attempt may begin, unless one has begun, whose result is its answer. */
     void refuseUnlessRunning(OpenRequest request) {
         if (!request.closed && !request.running()) {
-            answer(request, request.refusable() ? new Reply.Refused(0) : new Reply.Failed());
-            tellModuleClosed(request);
+            endUnserved(request);
         }
     }
 
+    private void endUnserved(OpenRequest request) {
+        answer(request, request.refusable() ? new Reply.Refused(0) : new Reply.Failed());
+        tellModuleClosed(request);
+    }
+
     /** Whether not all input of a request's connection has been read. */
     boolean inputUnread(OpenRequest request) {
         CallerConnections.CallerConnection connection = connections.get(request.caller.connection());
@@ -420,7 +491,7 @@
         request.closed = true;
         unanswered.remove(request.caller);
         if (connections.requestClosed(request)) {
-            context.startTimer(new TimerKey.CallerIdle(request.caller.connection()), bounds.callerIdleMs());
+            startIdleTimer(request.caller.connection());
         }
         context.stopTimer(new TimerKey.RequestDeadline(request.id));
         attempts.withdrawAll(request);
--- a/frontend/src/test/java/quincespar/program/FloodedFrontEnd.java
+++ b/frontend/src/test/java/quincespar/program/FloodedFrontEnd.java
@@ -75,7 +75,8 @@
         assertThat(Files.readString(folder.resolve("log"))).doesNotContain("OutOfMemoryError");
     }
 
-    private static void answerLookups(ScriptedPeers.Engine engine) throws InterruptedException {
+    /** Answers the lookups that an engine gets, and nothing else; does not end. */
+    static void answerLookups(ScriptedPeers.Engine engine) throws InterruptedException {
         while (true) {
             ScriptedPeers.Engine.Command command = engine.commands.take();
             if (command.words().get(0).equals("serve") && command.words().get(2).startsWith("queue=lookup")) {
--- a/frontend/src/test/java/quincespar/routing/PeerSharesTest.java
+++ b/frontend/src/test/java/quincespar/routing/PeerSharesTest.java
@@ -25,7 +25,7 @@
 
     private final List<Scheduler.SettingsChanged> configured = new ArrayList<>();
     private final Reducer reducer = new Reducer(SimulatedRouter.settings(3, new Spec("a", "safe")),
-            new Bounds(100, 1000, 8 << 20, 2000, 2500, 8, 8, 500, new PollTiming(2000, 1000, 250, 1000, 250, 400, 5000, 10_000)),
+            new Bounds(100, 100, 1000, 8 << 20, 2000, 2500, 8, 8, 500, new PollTiming(2000, 1000, 250, 1000, 250, 400, 5000, 10_000)),
             (now, events) -> {
                 events.stream().filter(Scheduler.SettingsChanged.class::isInstance).map(Scheduler.SettingsChanged.class::cast)
                         .forEach(configured::add);
--- a/frontend/src/test/java/quincespar/routing/ReducerTest.java
+++ b/frontend/src/test/java/quincespar/routing/ReducerTest.java
@@ -41,7 +41,7 @@
             pairs.putAll(Map.of("requestClasses." + c + ".slo", "800", "requestClasses." + c + ".hardLimit", "4000",
                     "requestClasses." + c + ".effect", c == SAFE_CLASS ? "safe" : "unsafe"));
         }
-        reducer = new Reducer(RoutingSettings.of(pairs), new Bounds(3, 5, 1 << 20, 2000, 2500, 8, 8, 500,
+        reducer = new Reducer(RoutingSettings.of(pairs), new Bounds(3, 10, 5, 1 << 20, 2000, 2500, 8, 8, 500,
                 new PollTiming(2000, 1000, 250, 1000, 250, 400, 5000, 10_000)), (time, newEvents) -> {
             decisions++;
             events.addAll(newEvents);
@@ -214,7 +214,7 @@
     @Test
     void aLowerCallerLimitClosesUnusedConnections() {
         step(new Input.CallerConnected(1), new Input.CallerConnected(2));
-        step(new Input.CallerLimitChanged(2));
+        step(new Input.CallerLimitChanged(2, 10));
         step(new Input.CallerConnected(3));
         assertThat(last(Effect.CloseCaller.class).connection()).isEqualTo(1);
     }
@@ -474,6 +474,63 @@
                 .containsExactly(9L, 10L, 8L, 13L);
     }
 
+    /** Guards against requests without an answer, as nobody accepts their connections while all places are busy. */
+    @Test
+    void aRequestBeyondTheLimitOnBusyConnectionsIsRefusedAndItsConnectionClosed() {
+        step(new Input.CallerLimitChanged(1, 2));
+        step(request(new Caller(7, 1), "a", now), request(new Caller(8, 1), "b", now), new Input.CallerConnected(9));
+        step(request(new Caller(9, 1), "c", now), request(new Caller(9, 2), "d", now)); // sent at once
+        assertThat(of(Effect.Answer.class, effects)).containsExactly(new Effect.Answer(new Caller(9, 1), new Reply.Refused(0)),
+                new Effect.Answer(new Caller(9, 2), new Reply.Refused(0)));
+        step(new Input.TimerFired(new TimerKey.CallerIdle(9)));
+        assertThat(last(Effect.CloseCaller.class).connection()).isEqualTo(9);
+        step(new Input.CallerDisconnected(9));
+        assertThat(reducer.retainedCounts()).containsEntry("held.callers", 2).containsEntry("held.requests", 2);
+    }
+
+    /** Guards against clients with many requests on a connection that keep all others out. */
+    @Test
+    void theConnectionWithMostOpenRequestsLosesItsPlaceToANewOne() {
+        for (int i = 1; i <= 4; i++) {
+            step(request(new Caller(8, i), "b" + i, now));
+        }
+        step(new Input.CallerLimitChanged(1, 1));
+        step(new Input.CallerConnected(9), request(new Caller(9, 1), "c", now));
+        assertThat(of(Effect.Answer.class, effects)).extracting(Effect.Answer::caller).containsExactlyInAnyOrder(
+                new Caller(8, 1), new Caller(8, 2), new Caller(8, 3), new Caller(8, 4));
+        step(request(new Caller(8, 5), "b5", now)); // its place is taken
+        assertThat(last(Effect.Answer.class)).isEqualTo(new Effect.Answer(new Caller(8, 5), new Reply.Refused(0)));
+        for (int i = 2; i <= 4; i++) { // at the limit a connection may not open as many
+            step(request(new Caller(9, i), "c" + i, now));
+        }
+        assertThat(last(Effect.Answer.class)).isEqualTo(new Effect.Answer(new Caller(9, 4), new Reply.Refused(0)));
+        assertThat(of(Effect.Answer.class, effects)).hasSize(6);
+    }
+
+    /** Guards against a place that is never free again, because its client always has more to send. */
+    @Test
+    void aDisplacedConnectionWhoseClientSendsOnIsClosedInTheEnd() {
+        step(new Input.CallerLimitChanged(1, 1));
+        step(request(new Caller(7, 1), "a", now), request(new Caller(8, 1), "b", now));
+        for (int call = 2; of(Effect.EndCaller.class, effects).isEmpty(); call++) {
+            assertThat(call).isLessThan(20);
+            step(new Input.TimerFired(new TimerKey.CallerIdle(8)));
+            step(new Input.CallerNotClosed(8), request(new Caller(8, call), "b", now));
+            assertThat(last(Effect.StartTimer.class).key()).isEqualTo(new TimerKey.CallerIdle(8));
+        }
+        assertThat(last(Effect.EndCaller.class).connection()).isEqualTo(8);
+    }
+
+    /** Guards against new connections that wait to be accepted for as long as idle ones are usually kept. */
+    @Test
+    void idleConnectionsBeyondTheLimitOnBusyOnesAreClosedSoon() {
+        step(new Input.CallerLimitChanged(1, 1));
+        step(new Input.CallerConnected(7), request(new Caller(7, 1), "a", now), new Input.CallerConnected(8));
+        step(new Input.CallerNotClosed(8), new Input.RequestCancelled(new Caller(7, 1)));
+        assertThat(last(Effect.StartTimer.class).key()).isEqualTo(new TimerKey.CallerIdle(7));
+        assertThat(last(Effect.StartTimer.class).delayMs()).isLessThan(100);
+    }
+
     /** Guards against a client that is refused while it sends losing its connection as one that has sent nothing. */
     @Test
     void aConnectionWhoseRequestsAreRefusedIsInUse() {
--- a/frontend/src/test/java/quincespar/routing/SimulatedRouter.java
+++ b/frontend/src/test/java/quincespar/routing/SimulatedRouter.java
@@ -76,7 +76,7 @@
     /** With ordering keys that are locked against other processes where {@code locksKeys}. */
     SimulatedRouter(RoutingSettings settings, Recovery recovery, boolean locksKeys) {
         this.settings = settings;
-        reducer = new Reducer(settings, new Bounds(100, 1000, MAX_REQUEST_BYTES, 2000, 2500, 8, 8, 500,
+        reducer = new Reducer(settings, new Bounds(100, 100, 1000, MAX_REQUEST_BYTES, 2000, 2500, 8, 8, 500,
                 new PollTiming(2000, 1000, 250, 1000, 250, 400, 5000, 10_000)),
                 recordingLists(new GcMuScheduler(settings.decision(), 7)), recovery, true, locksKeys);
         perform(reducer.start(now, "127.0.0.1:1", List.of(new FleetEvent(1, 1, true,
--- a/laboratory/src/main/java/quincespar/laboratory/PowerLossSimulation.java
+++ b/laboratory/src/main/java/quincespar/laboratory/PowerLossSimulation.java
@@ -269,7 +269,7 @@
             Recovery recovery = scenario.recovery()
                     ? new Recovery(recoveryTimeouts, name, true, Reducer.classTraits(settings)) : null;
             PollTiming pollTiming = new PollTiming(2000, 1000, 250, 1000, 250, 400, 5000, 10_000);
-            reducer = new Reducer(settings, new Bounds(1000, 5000, MAX_REQUEST_BYTES, 2000, 2500, 8, 8, 500, pollTiming),
+            reducer = new Reducer(settings, new Bounds(1000, 1000, 5000, MAX_REQUEST_BYTES, 2000, 2500, 8, 8, 500, pollTiming),
                     new GcMuScheduler(settings.decision(), scenario.seed() * 1000 + index), recovery, scenario.recovery(), false);
             perform(reducer.start(LOSS_UNIX_MS + time.now(), "10.0.0.2:1", List.of(new FleetEvent(1, 1, true, members))));
             if (scenario.recovery()) {
