Post the failure of a poll outside its lock, and queue a poll before it connects

Callers would see: a front end that stops for good when a poll's answer is malformed while the queue to the reducer is full, and a connect to the change log that fails at once noticed after 2 s only.

Cause: the failure was posted under the session's lock. Posting waits for room in the queue, which the reducer's thread makes, and that thread takes the same lock to poll. And the poll was queued after the connect had begun: where that had failed by then, its end was reported for no poll.

Change: only the exchange of the poll's number is under the lock; the poll is queued first.

The second has no test: it needs a failure between two calls.

--- a/frontend/src/main/java/quincespar/program/Configuration.java
+++ b/frontend/src/main/java/quincespar/program/Configuration.java
@@ -34,7 +34,8 @@
     /** The bounds for these limits and the operators' settings. */
     Bounds bounds(Settings s) {
         return new Bounds(Math.max(1, (int) (sockets * s.number(Keyword.CLIENTS_DESCRIPTOR_SHARE) / 100)),
-                (int) (sockets * BUSY_CLIENT_SHARE), Bounds.maxRequestsFor(memoryMb), Bounds.maxRequestBytesFor(Runtime.getRuntime().maxMemory()),
+                (int) (sockets * BUSY_CLIENT_SHARE), Bounds.maxRequestsFor(memoryMb),
+                Bounds.maxRequestBytesFor(Runtime.getRuntime().maxMemory()),
                 s.number(Keyword.CLIENTS_FIRST_REQUEST_TIMEOUT), s.number(Keyword.CLIENTS_IDLE_TIMEOUT),
                 s.count(Keyword.LINKS_PER_ENGINE), s.count(Keyword.LINKS_REQUESTS_PER_LINK), s.number(Keyword.LINKS_PARTIAL_MESSAGE_TIMEOUT),
                 new PollTiming((long) s.number(Keyword.CHANGE_LOG_LONG_POLL_WAIT), s.number(Keyword.CHANGE_LOG_ANSWER_SLACK),
--- a/frontend/src/main/java/quincespar/program/engines/ChangeLogClient.java
+++ b/frontend/src/main/java/quincespar/program/engines/ChangeLogClient.java
@@ -81,11 +81,10 @@
             this.address = address;
         }
 
-        /** Sets the poll before connecting: the connection may be refused before the poll is sent. */
+        /** Queues the poll before connecting: the connection may fail at once, which is the poll's failure. */
         void connect(Effect.PollChangeLog e) {
-            openPoll = e.pollId();
-            connection.connect(address, this, Math.round(e.connectTimeoutMs()));
             poll(e);
+            connection.connect(address, this, Math.round(e.connectTimeoutMs()));
         }
 
         /** False if the connection is closed. */
@@ -118,11 +117,10 @@
                 throw new MalformedException("status " + response.status());
             }
             ChangeLogCodec.Changes changes = ChangeLogCodec.read(response.body());
-            long pollId = openPoll;
+            long pollId = takeOpenPoll();
             if (pollId == NO_POLL) {
                 throw new MalformedException("response without a request");
             }
-            openPoll = NO_POLL;
             post.accept(new Input.ChangesReceived(pollId, changes.seq(), changes.events()));
         }
 
@@ -132,14 +130,20 @@
             reportFailure(failureOf(cause), cause);
         }
 
-        private synchronized void reportFailure(PollFailure failure, String cause) {
-            long pollId = openPoll;
-            openPoll = NO_POLL;
+        /** Not under the lock: an input may wait for room, which the thread that polls makes. */
+        private void reportFailure(PollFailure failure, String cause) {
+            long pollId = takeOpenPoll();
             if (pollId != NO_POLL) {
                 post.accept(new Input.PollFailed(pollId, failure, cause));
             }
         }
 
+        private synchronized long takeOpenPoll() {
+            long pollId = openPoll;
+            openPoll = NO_POLL;
+            return pollId;
+        }
+
         private PollFailure failureOf(String cause) {
             if (established) {
                 return PollFailure.NO_ANSWER;
