Keep idle connections while new ones have sent nothing

Cause: passes over a new connection that has not had 20 ms for its first request, and then took the next candidate, the longest idle one. New connections went before idle ones until then.

Change: while others are new, none is closed for the newest, which gets 20 ms.

ReducerTest, ConnectionEndTest and DescriptorLimitIT pass.

--- a/frontend/src/main/java/quincespar/routing/CallerConnections.java
+++ b/frontend/src/main/java/quincespar/routing/CallerConnections.java
@@ -129,15 +129,13 @@
     }
 
     /**
-     * Which connection to close so that a new one may stay: the oldest without a request so far that has had time to send one,
-     * else the one that has been idle for longest; none where all have requests open or are new.
+     * Which connection to close so that a new one may stay: the oldest other one without a request so far, else the one that has
+     * been idle for longest; none where all have requests open, or that oldest one has not had time to send a request.
      */
     OptionalLong leastNeeded(double now) {
-        if (!unused.isEmpty()) {
+        if (unused.size() > 1) { // one is the new connection
             CallerConnection oldest = unused.iterator().next();
-            if (now - oldest.connectedAt >= FIRST_SEND_MS) {
-                return OptionalLong.of(oldest.id);
-            }
+            return now - oldest.connectedAt >= FIRST_SEND_MS ? OptionalLong.of(oldest.id) : OptionalLong.empty();
         }
         return idle.isEmpty() ? OptionalLong.empty() : OptionalLong.of(idle.iterator().next().id);
     }
--- a/frontend/src/test/java/quincespar/routing/ReducerTest.java
+++ b/frontend/src/test/java/quincespar/routing/ReducerTest.java
@@ -490,6 +490,16 @@
         assertThat(of(Effect.CloseCaller.class, effects)).extracting(Effect.CloseCaller::connection).containsExactly(9L);
     }
 
+    /** Guards against clients that connect and send nothing closing the idle connections of others. */
+    @Test
+    void anIdleConnectionIsKeptWhileNewOnesHaveSentNothing() {
+        step(new Input.CallerLimitChanged(1, 10));
+        step(request(new Caller(7, 1), "a", now), new Input.RequestCancelled(new Caller(7, 1)));
+        step(request(new Caller(8, 1), "b", now), new Input.CallerConnected(9)); // takes the place of 7, which is idle
+        step(new Input.RequestCancelled(new Caller(8, 1)), new Input.CallerConnected(10), new Input.CallerConnected(11));
+        assertThat(of(Effect.CloseCaller.class, effects)).extracting(Effect.CloseCaller::connection).containsExactly(7L);
+    }
+
     /** Guards against requests without an answer, as nobody accepts their connections while all places are busy. */
     @Test
     void aRequestBeyondTheLimitOnBusyConnectionsIsRefusedAndItsConnectionClosed() {
