Close the connection that is needed least beyond the limit on busy ones

Callers saw: beside clients that connect, send health calls and leave, a usual client's connection was closed between two lookups, so that its next request met the close.

Cause: gives each connection that becomes idle beyond the limit on busy ones 30 ms, and then closes that one, whatever else is open.

Change: that timer closes the connection that is needed least, an unused one first, then the one that has been idle for longest. An idle connection is still closed by its own time. leastNeeded no longer takes it that one unused connection is the new one; `displaced` is kept once.

--- a/frontend/src/main/java/quincespar/routing/CallerConnections.java
+++ b/frontend/src/main/java/quincespar/routing/CallerConnections.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 
@@ -26,9 +27,9 @@
         boolean inputUnread;
         /** Whether that has lasted so long that its requests are refused. */
         boolean inputUnreadTooLong;
-        /** Whether it is to be closed because its place is needed: no further request is opened on it. */
-        boolean displaced;
-        /** How often it was to be closed since then. */
+        /** Since when it has had no open request, where it has had one. */
+        double idleSince;
+        /** How often it was to be closed since it was displaced. */
         int closeAttempts;
 
         CallerConnection(long id, double connectedAt) {
@@ -42,6 +43,7 @@
     private final Set<CallerConnection> unused = new LinkedHashSet<>();
     /** Connections whose requests have all been answered, longest idle first. */
     private final Set<CallerConnection> idle = new LinkedHashSet<>();
+    /** Connections that are to be closed because their place is needed: no further request is opened on them. */
     private final Set<CallerConnection> displaced = new LinkedHashSet<>();
 
     int size() {
@@ -72,12 +74,20 @@
     }
 
     void displace(CallerConnection connection) {
-        connection.displaced = true;
         unused.remove(connection);
         idle.remove(connection);
         displaced.add(connection);
     }
 
+    boolean isDisplaced(CallerConnection connection) {
+        return displaced.contains(connection);
+    }
+
+    /** Whether it has had open requests, and has none now. */
+    boolean isIdle(CallerConnection connection) {
+        return idle.contains(connection);
+    }
+
     CallerConnection get(long id) {
         return byId.get(id);
     }
@@ -99,27 +109,32 @@
     }
 
     /** A request was answered without being opened, which shows that the connection is used. True where no request is open on it. */
-    boolean requestNotOpened(long id) {
+    boolean requestNotOpened(long id, double now) {
         CallerConnection connection = byId.get(id);
-        if (connection == null || connection.displaced || !connection.open.isEmpty()) {
+        if (connection == null || isDisplaced(connection) || !connection.open.isEmpty()) {
             return false;
         }
         unused.remove(connection);
-        idle.remove(connection); // and back, as the one that is idle for the shortest time
-        idle.add(connection);
+        becameIdle(connection, now);
         return true;
     }
 
     /** True where the connection has no other open request, and is idle now. */
-    boolean requestClosed(OpenRequest request) {
+    boolean requestClosed(OpenRequest request, double now) {
         CallerConnection connection = byId.get(request.caller.connection());
-        if (connection == null || !connection.open.remove(request) || !connection.open.isEmpty() || connection.displaced) {
+        if (connection == null || !connection.open.remove(request) || !connection.open.isEmpty() || isDisplaced(connection)) {
             return false;
         }
-        idle.add(connection);
+        becameIdle(connection, now);
         return true;
     }
 
+    private void becameIdle(CallerConnection connection, double now) {
+        connection.idleSince = now;
+        idle.remove(connection); // and back, as the one that is idle for the shortest time
+        idle.add(connection);
+    }
+
     CallerConnection remove(long id) {
         CallerConnection connection = byId.remove(id);
         unused.remove(connection);
@@ -129,14 +144,25 @@
     }
 
     /**
-     * Which connection to close so that a new one may stay: the oldest other one without a request so far, else the one that has
-     * been idle for longest; none where all have requests open, or that oldest one has not had time to send a request.
+     * Which connection to close so that a new one may stay: the oldest without a request so far, else the one that has been idle
+     * for longest; none where all have requests open, or that oldest one has not had time to send a request.
+     *
+     * @param newest the connection that is to stay, as it is new
      */
+    OptionalLong leastNeededBut(long newest, double now) {
+        return leastNeeded(unused.stream().filter(c -> c.id != newest).findFirst(), now);
+    }
+
+    /** As {@link #leastNeededBut}, where no connection is new. */
     OptionalLong leastNeeded(double now) {
-        if (unused.size() > 1) { // one is the new connection
-            CallerConnection oldest = unused.iterator().next();
-            return now - oldest.connectedAt >= FIRST_SEND_MS ? OptionalLong.of(oldest.id) : OptionalLong.empty();
+        return leastNeeded(unused.stream().findFirst(), now);
+    }
+
+    private OptionalLong leastNeeded(Optional<CallerConnection> oldestUnused, double now) {
+        if (oldestUnused.isEmpty()) {
+            return idle.isEmpty() ? OptionalLong.empty() : OptionalLong.of(idle.iterator().next().id);
         }
-        return idle.isEmpty() ? OptionalLong.empty() : OptionalLong.of(idle.iterator().next().id);
+        boolean hadTime = now - oldestUnused.get().connectedAt >= FIRST_SEND_MS;
+        return hadTime ? OptionalLong.of(oldestUnused.get().id) : OptionalLong.empty();
     }
 }
--- a/frontend/src/main/java/quincespar/routing/Requests.java
+++ b/frontend/src/main/java/quincespar/routing/Requests.java
@@ -18,7 +18,7 @@
     /** No attempt may begin for longer than this after its client has left, which unread input may hide. */
     private static final double MAX_INPUT_UNREAD_MS = 100;
     private static final double LATE_ANSWER_LOG_INTERVAL_MS = 100;
-    /** When a connection beyond the limit on busy ones is closed: what its client has sent by then is answered, and it connects less often. */
+    /** When room is made beyond the limit on busy connections: what a client has sent by then is answered. */
     private static final double SPARE_IDLE_MS = 30;
     /** After that many times, a displaced connection whose client sends on is closed all the same. */
     private static final int MAX_DISPLACED_CLOSE_ATTEMPTS = 5;
@@ -133,17 +133,32 @@
     /** A client's connection has had no open request for too long, or has not yet sent one. */
     void callerIdle(long connection) {
         CallerConnections.CallerConnection found = connections.get(connection);
-        if (found != null && found.displaced) {
+        if (found == null) {
+            return;
+        }
+        if (connections.isDisplaced(found)) {
             closeDisplaced(found);
-        } else if (found != null && found.open.isEmpty()) {
+        } else if (connections.isIdle(found) && context.now - found.idleSince < bounds.callerIdleMs()) {
+            makeRoomBefore(found);
+        } else if (found.open.isEmpty()) {
             closeCaller(connection, "nothing open");
         }
     }
 
+    /** Beyond the limit on busy connections closes the least needed one, which an idle one need not be. */
+    private void makeRoomBefore(CallerConnections.CallerConnection idle) {
+        if (connections.keptCount() > maxBusyCallers) {
+            connections.leastNeeded(context.now).ifPresent(id -> closeCaller(id, "its place is needed"));
+        }
+        if (connections.isIdle(idle)) {
+            startIdleTimer(idle.id);
+        }
+    }
+
     void callerConnected(long connection) {
         connections.connected(connection, context.now);
         boolean tooMany = connections.keptCount() > maxCallers;
-        OptionalLong leastNeeded = tooMany ? connections.leastNeeded(context.now) : OptionalLong.empty();
+        OptionalLong leastNeeded = tooMany ? connections.leastNeededBut(connection, context.now) : OptionalLong.empty();
         leastNeeded.ifPresent(id -> closeCaller(id, "its place is needed"));
         context.startTimer(new TimerKey.CallerIdle(connection), tooMany && leastNeeded.isEmpty()
                 ? CallerConnections.FIRST_SEND_MS : bounds.firstRequestMs());
@@ -155,7 +170,7 @@
      */
     void callerNotClosed(long connection) {
         CallerConnections.CallerConnection found = connections.get(connection);
-        if (found != null && found.displaced) {
+        if (found != null && connections.isDisplaced(found)) {
             context.startTimer(new TimerKey.CallerIdle(connection), SPARE_IDLE_MS);
             return;
         }
@@ -184,7 +199,7 @@
      */
     private boolean hasPlace(long id) {
         CallerConnections.CallerConnection connection = connections.get(id);
-        if (connection != null && connection.displaced) {
+        if (connection != null && connections.isDisplaced(connection)) {
             return false;
         }
         if (connections.busyCount() < maxBusyCallers) {
@@ -258,15 +273,16 @@
 
     /** A request on this connection was answered without being opened: the connection is in use for as long as after others. */
     void notOpened(long connection) {
-        if (connections.requestNotOpened(connection)) {
+        if (connections.requestNotOpened(connection, context.now)) {
             startIdleTimer(connection);
         }
     }
 
-    /** Beyond the limit on busy connections idle ones are closed soon, as new ones may wait to be accepted. */
+    /** Beyond the limit on busy connections room is made soon, as new ones may wait to be accepted. */
     private void startIdleTimer(long connection) {
+        double idleMs = context.now - connections.get(connection).idleSince;
         context.startTimer(new TimerKey.CallerIdle(connection),
-                connections.keptCount() > maxBusyCallers ? SPARE_IDLE_MS : bounds.callerIdleMs());
+                connections.keptCount() > maxBusyCallers ? SPARE_IDLE_MS : bounds.callerIdleMs() - idleMs);
     }
 
     /** After how long the client of a request that must be refused may try again; NaN where it may be opened. */
@@ -491,7 +507,7 @@
     private void close(OpenRequest request) {
         request.closed = true;
         unanswered.remove(request.caller);
-        if (connections.requestClosed(request)) {
+        if (connections.requestClosed(request, context.now)) {
             startIdleTimer(request.caller.connection());
         }
         context.stopTimer(new TimerKey.RequestDeadline(request.id));
--- a/frontend/src/test/java/quincespar/routing/ReducerTest.java
+++ b/frontend/src/test/java/quincespar/routing/ReducerTest.java
@@ -557,6 +557,20 @@
         assertThat(last(Effect.StartTimer.class).delayMs()).isLessThan(100);
     }
 
+    /** Guards against the close of a connection that its client uses while others beyond the limit have sent nothing. */
+    @Test
+    void beyondTheLimitOnBusyOnesAnUnusedConnectionIsClosedBeforeAnIdleOne() {
+        step(new Input.CallerLimitChanged(1, 1));
+        step(new Input.CallerConnected(7), request(new Caller(7, 1), "a", now), new Input.CallerConnected(8));
+        step(new Input.RequestCancelled(new Caller(7, 1)));
+        now += CallerConnections.FIRST_SEND_MS;
+        step(new Input.TimerFired(new TimerKey.CallerIdle(7)));
+        assertThat(of(Effect.CloseCaller.class, effects)).extracting(Effect.CloseCaller::connection).containsExactly(8L);
+        now += 2500;
+        step(new Input.TimerFired(new TimerKey.CallerIdle(7)));
+        assertThat(of(Effect.CloseCaller.class, effects)).extracting(Effect.CloseCaller::connection).containsExactly(8L, 7L);
+    }
+
     /** Guards against a client that is refused while it sends losing its connection as one that has sent nothing. */
     @Test
     void aConnectionWhoseRequestsAreRefusedIsInUse() {
