Count the attempts that are open, here and in the decision module

Change: two counters, held.attempts and held.module-attempts. They are equal but for what the module learns in its next decision.

Tests: SimulatedRouter compares the two whenever a test lets all requests settle.

--- a/decision/src/main/java/quincespar/decision/GcMuScheduler.java
+++ b/decision/src/main/java/quincespar/decision/GcMuScheduler.java
@@ -280,6 +280,11 @@
                 .filter(node -> node.isEjected() && node.engine.state() == EngineState.READY).count();
     }
 
+    @Override
+    public int openAttemptCount() {
+        return queries.values().stream().mapToInt(Query::runningAttempts).sum();
+    }
+
     /** Time between checks of queued queries: among many routers each has few, and checks cost the most. */
     private double supervisionInterval() {
         return allLimitsShared ? 2 * baseInterval : baseInterval;
--- a/decision/src/main/java/quincespar/decision/Scheduler.java
+++ b/decision/src/main/java/quincespar/decision/Scheduler.java
@@ -21,6 +21,11 @@
         return 0;
     }
 
+    /** The number of attempts that it has asked for and of which it has not been told the end. */
+    default int openAttemptCount() {
+        return 0;
+    }
+
     /**
      * Whether a request may run more than once: always ({@code SAFE}), where repeats are deduplicated by a
      * key ({@code KEYED}), or never ({@code UNSAFE}).
--- a/frontend/src/main/java/quincespar/routing/Attempts.java
+++ b/frontend/src/main/java/quincespar/routing/Attempts.java
@@ -16,6 +16,7 @@
     private final AttemptCounters counters;
     private final RecoveryCoordinator recovery;
     private Links links;
+    private int openCount;
 
     Attempts(StepContext context, Requests requests, EngineRegistry engines, AttemptCounters counters,
             RecoveryCoordinator recovery) {
@@ -32,6 +33,11 @@
         requests.setAttempts(this);
     }
 
+    /** How many attempts have begun and not ended: as many as the decision module counts, between two steps of the reducer. */
+    int openCount() {
+        return openCount;
+    }
+
     /** The cancel of an attempt has been written. */
     void cancelWritten(Attempt attempt) {
         if (attempt != null && attempt.outcome == null && attempt.cancelOutcome != null) {
@@ -98,6 +104,7 @@
         Attempt attempt = new Attempt(request, request.attempts.size(), action.engine(), context.now, timeoutAt,
                 request.startDeadline() - context.settings.decision().tick());
         request.attempts.add(attempt);
+        openCount++;
         EngineRegistry.Engine engine = engines.get(action.engine());
         if (engine == null || !engine.ready() || context.now >= attempt.startDeadline) {
             end(attempt, Outcome.CONNECT_FAILED);
@@ -210,6 +217,7 @@
             return;
         }
         attempt.outcome = outcome;
+        openCount--;
         attempt.endedAt = context.now;
         count(attempt, outcome);
         context.stopTimer(new TimerKey.AttemptTimeout(attempt.key));
--- a/frontend/src/main/java/quincespar/routing/Reducer.java
+++ b/frontend/src/main/java/quincespar/routing/Reducer.java
@@ -144,6 +144,8 @@
         requests.addRetainedCounts(out);
         links.addRetainedCounts(out);
         out.put("held.engines", engines.all().size());
+        out.put("held.attempts", attempts.openCount());
+        out.put("held.module-attempts", scheduler.openAttemptCount());
         return out;
     }
 
--- a/frontend/src/test/java/quincespar/routing/SimulatedRouter.java
+++ b/frontend/src/test/java/quincespar/routing/SimulatedRouter.java
@@ -100,6 +100,11 @@
             public int ejectedEngineCount() {
                 return module.ejectedEngineCount();
             }
+
+            @Override
+            public int openAttemptCount() {
+                return module.openAttemptCount();
+            }
         };
     }
 
@@ -205,6 +210,19 @@
 
     /** Lets time pass until each open request is answered, at the latest when its client gives up. */
     void settle() {
+        answerAll();
+        assertSameAttemptsOpen();
+    }
+
+    /** Guards against attempts whose end the decision module never learns: it keeps their place at the engine for good. */
+    void assertSameAttemptsOpen() {
+        step(); // a step without input, in which the module learns of what has ended since its last call
+        Map<String, Integer> counts = reducer.retainedCounts();
+        assertThat(counts.get("held.module-attempts")).as("attempts that the module counts")
+                .isEqualTo(counts.get("held.attempts"));
+    }
+
+    private void answerAll() {
         for (int i = 0; i < 2000 && (reducer.openRequests() > 0 || !running.isEmpty()); i++) {
             if (!running.isEmpty()) {
                 engineAnswers(0, true);
