End every attempt that the decision module has asked for

Cause: where a client's input had been unread for over 100 ms, Attempts.send refused the request and returned. The module had counted the attempt and was never told its end, so that its place, threads and key stayed taken; so too for an action that was ignored as invalid.

Change: an attempt begins under the module's number before anything can stand in its way, and each way out of send ends it or puts it on a link. An action that fails with an error no longer takes those behind it along. This works because begin and end are now the only two places that count.

--- a/frontend/src/main/java/quincespar/routing/Attempts.java
+++ b/frontend/src/main/java/quincespar/routing/Attempts.java
@@ -87,38 +87,64 @@
         }
     }
 
-    /** Sends the next attempt of a request as the decision module asks. */
+    /**
+     * Sends the next attempt of a request as the decision module asks. The module counts the attempt from then on, so that it
+     * begins here in any case, with the same number, and each way out of here leads to its end or to a link.
+     */
     void send(OpenRequest request, Scheduler.SendAttempt action) {
-        // an unsafe request is never sent twice, and none has two attempts at once unless the settings allow it
-        boolean duplicate = request != null && (request.unsafe() && request.mayHaveRun()
-                || request.running() && !context.settings.decision().limits().mayRunConcurrentAttempts());
-        if (request == null || request.closed || duplicate) {
-            context.addEffect(new Effect.Log("ignored an invalid action of the decision module: " + action));
+        if (request == null) { // it is over, and the module has been told
+            logInvalid(action);
             return;
         }
-        if (requests.inputUnreadTooLong(request)) {
+        boolean invalid = request.closed || isForbiddenRepeat(request);
+        Attempt attempt = begin(request, action);
+        if (invalid) {
+            logInvalid(action);
+            end(attempt, Outcome.MOOT);
+        } else if (requests.inputUnreadTooLong(request)) {
+            end(attempt, Outcome.MOOT);
             requests.refuseUnlessRunning(request);
-            return;
+        } else {
+            assignLink(attempt);
         }
+    }
+
+    private void logInvalid(Scheduler.SendAttempt action) {
+        context.addEffect(new Effect.Log("ignored an invalid action of the decision module: " + action));
+    }
+
+    /** An unsafe request is never sent twice, and none has two attempts at once unless the settings allow it. */
+    private boolean isForbiddenRepeat(OpenRequest request) {
+        return request.unsafe() && request.mayHaveRun()
+                || request.running() && !context.settings.decision().limits().mayRunConcurrentAttempts();
+    }
+
+    private Attempt begin(OpenRequest request, Scheduler.SendAttempt action) {
         double timeoutAt = action.timeout() > 0 ? Math.min(request.deadline, context.now + action.timeout()) : request.deadline;
         Attempt attempt = new Attempt(request, request.attempts.size(), action.engine(), context.now, timeoutAt,
                 request.startDeadline() - context.settings.decision().tick());
         request.attempts.add(attempt);
         openCount++;
-        EngineRegistry.Engine engine = engines.get(action.engine());
+        return attempt;
+    }
+
+    /** Puts an attempt on a link to its engine, or ends it where there is none. */
+    private void assignLink(Attempt attempt) {
+        OpenRequest request = attempt.request;
+        EngineRegistry.Engine engine = engines.get(attempt.engine);
         if (engine == null || !engine.ready() || context.now >= attempt.startDeadline) {
             end(attempt, Outcome.CONNECT_FAILED);
             return;
         }
-        context.startTimer(new TimerKey.AttemptTimeout(attempt.key), timeoutAt - context.now);
-        if (attempt.startDeadline < timeoutAt) {
-            context.startTimer(new TimerKey.StartDeadline(attempt.key), attempt.startDeadline - context.now);
-        }
         attempt.link = links.select(engine, request.query.txn(), request.unsafe());
         if (attempt.link == null) {
             end(attempt, Outcome.CONNECT_FAILED);
             return;
         }
+        context.startTimer(new TimerKey.AttemptTimeout(attempt.key), attempt.timeoutAt - context.now);
+        if (attempt.startDeadline < attempt.timeoutAt) {
+            context.startTimer(new TimerKey.StartDeadline(attempt.key), attempt.startDeadline - context.now);
+        }
         attempt.link.open.put(request.query.txn(), attempt);
         recovery.requestSent(request, engine);
         if (attempt.link.up) {
--- a/frontend/src/main/java/quincespar/routing/Reducer.java
+++ b/frontend/src/main/java/quincespar/routing/Reducer.java
@@ -165,7 +165,7 @@
         decidedAt = context.hasEvents() ? context.now : decidedAt;
         while (context.hasEvents()) { // an attempt that ends at once is a new event
             try {
-                scheduler.decide(context.now, context.takeEvents()).forEach(this::perform);
+                scheduler.decide(context.now, context.takeEvents()).forEach(this::performOrReport);
             } catch (RuntimeException e) { // requests that are open then still have their timers
                 context.addEffect(new Effect.UnexpectedError("deciding", e));
             }
@@ -246,6 +246,15 @@
         }
     }
 
+    /** One action that fails must not lose those behind it: the module counts them as performed. */
+    private void performOrReport(Action action) {
+        try {
+            perform(action);
+        } catch (RuntimeException e) {
+            context.addEffect(new Effect.UnexpectedError("performing " + action.getClass().getSimpleName(), e));
+        }
+    }
+
     private void perform(Action action) {
         if (action instanceof Scheduler.SendAttempt a) {
             attempts.send(requests.get(a.id()), a);
--- a/frontend/src/test/java/quincespar/routing/ReducerTest.java
+++ b/frontend/src/test/java/quincespar/routing/ReducerTest.java
@@ -195,6 +195,27 @@
         }
     }
 
+    /** Guards against a hang: the decision module keeps the place of an attempt whose end it is not told. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void anAttemptThatMayNotBeginEndsAllTheSame(boolean inputUnreadTooLong) {
+        Effect.Send first = sendRequest(SAFE_CLASS);
+        beginWrite(first);
+        if (inputUnreadTooLong) {
+            step(new Input.CallerInputUnread(1), new Input.TimerFired(new TimerKey.CallerInputUnread(1)));
+            step(received(first, new EngineMessage.Full(first.txn(), List.of())));
+        }
+        plannedActions.add(new Scheduler.SendAttempt(REQUEST, engine(1), 0)); // else the first one runs, so that it may not be sent
+        decide();
+        decide();
+        Scheduler.AttemptEnded end = last(Scheduler.AttemptEnded.class, events);
+        assertThat(List.of(end.attempt(), end.outcome())).containsExactly(1, Outcome.MOOT);
+        assertThat(of(Effect.Send.class, effects)).hasSize(1);
+        assertThat(of(Effect.Answer.class, effects)).isEqualTo(inputUnreadTooLong
+                ? List.of(new Effect.Answer(CALLER, new Reply.Refused(0))) : List.of());
+        assertThat(reducer.retainedCounts()).containsEntry("held.attempts", inputUnreadTooLong ? 0 : 1);
+    }
+
     /** Killed with requests open, the process would leave them unanswered. */
     @Test
     void openAndNewRequestsAreAnsweredBeforeAScheduledShutdown() {
