Number zones and kinds by name, so that a reload changes none of them

Cause: zones and kinds were known to the decision module by their place in the settings in force. A reload listed the engines anew with new numbers, while open attempts keep the zone of their engine, and open requests the zones and kinds of their class, under the old ones.

Change: a name keeps its number for as long as the process runs (NameNumbers), as those of classes and tenants do; what settings say by place is renumbered when they are read. This works because nothing that is open refers to a number that changes.

--- a/decision/src/main/java/quincespar/decision/Scheduler.java
+++ b/decision/src/main/java/quincespar/decision/Scheduler.java
@@ -80,7 +80,14 @@
             double lateReward, Idempotency idempotency, DeduplicationScope deduplicationScope,
             double deduplicationWindow, boolean orderedByKey, boolean streaming, int threads,
             boolean loadsTables, boolean waitsForLoads, List<Integer> allowedZones,
-            List<Integer> allowedEngineKinds) { }
+            List<Integer> allowedEngineKinds) {
+        /** This class with other numbers of the zones and kinds in which it may run. */
+        public ClassSpec withPlaces(List<Integer> otherZones, List<Integer> otherEngineKinds) {
+            return new ClassSpec(name, latencyTarget, targetStretch, deadline, reward, lateReward, idempotency,
+                    deduplicationScope, deduplicationWindow, orderedByKey, streaming, threads, loadsTables,
+                    waitsForLoads, otherZones, otherEngineKinds);
+        }
+    }
 
     /** A tenant, with the requests per second over all routers that are within its share. */
     record Tenant(String name, double quotaPerSecond, double share) { }
@@ -132,7 +139,13 @@
      */
     record EngineTraits(List<Double> coresByKind, List<Double> memoryByKind, double largestShare,
             boolean acceptsMemoryGrants, boolean supportsPriorities, MemoryShortagePolicy onMemoryShortage,
-            double noteInterval, boolean reportsWork, List<String> reportFields) { }
+            double noteInterval, boolean reportsWork, List<String> reportFields) {
+        /** These traits with the kinds of engines numbered otherwise. */
+        public EngineTraits withKinds(List<Double> otherCoresByKind, List<Double> otherMemoryByKind) {
+            return new EngineTraits(otherCoresByKind, otherMemoryByKind, largestShare, acceptsMemoryGrants,
+                    supportsPriorities, onMemoryShortage, noteInterval, reportsWork, reportFields);
+        }
+    }
 
     /**
      * The settings of one router.
@@ -168,6 +181,13 @@
                     peerMessagePenalty, tick, limits, rules, engineTraits);
         }
 
+        /** These settings with the zones and kinds of engines numbered otherwise. */
+        public Settings withPlaces(int otherZone, List<ClassSpec> otherClasses, EngineTraits otherTraits) {
+            return new Settings(routers, routerIndex, otherZone, otherClasses, tenants, overQuotaRewardFactor,
+                    discoveryOnRequest, clientsMarkRetries, crossZonePenalty, wastePenalty,
+                    peerMessagePenalty, tick, limits, rules, otherTraits);
+        }
+
         /** These settings with other rules. */
         public Settings withRules(Rules otherRules) {
             return new Settings(routers, routerIndex, zone, classes, tenants, overQuotaRewardFactor,
--- a/frontend/src/main/java/quincespar/routing/ClusterState.java
+++ b/frontend/src/main/java/quincespar/routing/ClusterState.java
@@ -83,7 +83,7 @@
             metrics.configurationLoaded();
             context.addEffect(new Effect.ConfigurationAccepted(input.document()));
             // open requests, links and what is known of the fleet are kept
-            peers.configure(input.settings().keepingNumbersOf(context.settings));
+            peers.configure(input.settings().keepingNumbersOf(engines.withKnownPlaces(context.settings)));
             updateOverlap();
             perform(membership.addressChanged(context.now, input.changeLogAddress()));
         }
--- a/frontend/src/main/java/quincespar/routing/EngineRegistry.java
+++ b/frontend/src/main/java/quincespar/routing/EngineRegistry.java
@@ -45,7 +45,8 @@
     private static final double MAX_START_REPORT_DELAY_MS = 30_000;
 
     private final RecoveryCoordinator recovery;
-    private RoutingSettings settings;
+    private final NameNumbers zones;
+    private final NameNumbers kinds;
     private long revision;
     private final Map<Long, Engine> byNumber = new LinkedHashMap<>();
     /** Whether a list has been received. */
@@ -55,7 +56,13 @@
 
     EngineRegistry(RoutingSettings settings, RecoveryCoordinator recovery) {
         this.recovery = recovery;
-        this.settings = settings;
+        zones = new NameNumbers(settings.zones());
+        kinds = new NameNumbers(settings.kinds());
+    }
+
+    /** These settings with all zones and kinds that are known here, so that later settings keep their numbers. */
+    RoutingSettings withKnownPlaces(RoutingSettings settings) {
+        return settings.withPlaces(zones.names(), kinds.names());
     }
 
     Engine get(long number) {
@@ -130,7 +137,8 @@
 
     /** The whole list again, with zones and kinds numbered as in these settings. */
     Scheduler.EngineList relist(RoutingSettings next) {
-        settings = next;
+        zones.addNamed(next.zones());
+        kinds.addNamed(next.kinds());
         byNumber.values().forEach(e -> e.withheld = held || recovery.withholds(e.listed));
         return new Scheduler.EngineList(Scheduler.ListKind.FULL, revision, byNumber.values().stream()
                 .filter(e -> e.listed.phase() != Phase.REMOVED).map(this::toSchedulerEngine).toList());
@@ -176,8 +184,7 @@
             case DRAINING -> EngineState.DRAINING;
             case REMOVED -> EngineState.GONE;
         };
-        return new Scheduler.Engine(engine.number, Math.max(0, settings.zones().indexOf(member.zone())),
-                Math.max(0, settings.kinds().indexOf(member.kind())), member.cell(), state, member.size(),
-                recovery.startedAt(member.id(), engine.startedAt));
+        return new Scheduler.Engine(engine.number, zones.numberOf(member.zone()), kinds.numberOf(member.kind()),
+                member.cell(), state, member.size(), recovery.startedAt(member.id(), engine.startedAt));
     }
 }
--- a/frontend/src/main/java/quincespar/routing/RoutingSettings.java
+++ b/frontend/src/main/java/quincespar/routing/RoutingSettings.java
@@ -9,8 +9,8 @@
 import quincespar.decision.SettingsParser;
 
 /**
- * The settings of the decision module, and those that only a front end on sockets needs. Classes and tenants are known by
- * name: a name keeps its number for as long as the process runs, in whatever order later settings list it.
+ * The settings of the decision module, and those that only a front end on sockets needs. Classes, tenants, zones and kinds are
+ * known by name: a name keeps its number for as long as the process runs, in whatever order later settings list it.
  *
  * @param decision          the settings of the decision module
  * @param zones             the names of the zones; a zone's number is its place
@@ -62,19 +62,77 @@
 
     /**
      * These settings with the numbers of {@code previous}: what both know keeps the number that it has there, what is new is
-     * appended, and what was dropped keeps its number and its last settings, for the requests that are still open.
+     * appended, and what was dropped keeps its number and, but for zones and kinds, its last settings, for the requests that are
+     * still open.
      */
     public RoutingSettings keepingNumbersOf(RoutingSettings previous) {
+        RoutingSettings renumbered = withPlaceNumbersOf(previous);
         List<Scheduler.ClassSpec> mergedClasses =
-                merge(previous.decision.classes(), decision.classes(), Scheduler.ClassSpec::name);
+                merge(previous.decision.classes(), renumbered.decision.classes(), Scheduler.ClassSpec::name);
         List<Scheduler.Tenant> mergedTenants =
                 merge(previous.decision.tenants(), decision.tenants(), Scheduler.Tenant::name);
         Map<String, Integer> usableClasses = new HashMap<>(indexByName(mergedClasses, Scheduler.ClassSpec::name));
         usableClasses.keySet().retainAll(classNumbers.keySet());
         Map<String, Integer> usableTenants = new HashMap<>(indexByName(mergedTenants, Scheduler.Tenant::name));
         usableTenants.keySet().retainAll(tenantNumbers.keySet());
-        return new RoutingSettings(decision.withClassesAndTenants(mergedClasses, mergedTenants), zones, kinds, linkIdleMs,
-                maxStreamsPerLink, Map.copyOf(usableClasses), Map.copyOf(usableTenants));
+        return new RoutingSettings(renumbered.decision.withClassesAndTenants(mergedClasses, mergedTenants), renumbered.zones,
+                renumbered.kinds, linkIdleMs, maxStreamsPerLink, Map.copyOf(usableClasses), Map.copyOf(usableTenants));
+    }
+
+    /** These settings with the zones and kinds numbered as in {@code previous}. */
+    private RoutingSettings withPlaceNumbersOf(RoutingSettings previous) {
+        List<String> mergedZones = upToLastOf(zones, merge(previous.zones, zones, name -> name));
+        List<String> mergedKinds = upToLastOf(kinds, merge(previous.kinds, kinds, name -> name));
+        List<Scheduler.ClassSpec> classes = new ArrayList<>();
+        for (Scheduler.ClassSpec spec : decision.classes()) {
+            classes.add(spec.withPlaces(renumber(spec.allowedZones(), zones, mergedZones),
+                    renumber(spec.allowedEngineKinds(), kinds, mergedKinds)));
+        }
+        int ownZone = decision.zone() < zones.size() ? mergedZones.indexOf(zones.get(decision.zone())) : decision.zone();
+        Scheduler.EngineTraits traits = decision.engineTraits();
+        Scheduler.EngineTraits before = previous.decision.engineTraits();
+        Scheduler.EngineTraits renumbered = traits.withKinds(
+                byMergedKind(mergedKinds, traits.coresByKind(), before.coresByKind()),
+                byMergedKind(mergedKinds, traits.memoryByKind(), before.memoryByKind()));
+        return new RoutingSettings(decision.withPlaces(ownZone, classes, renumbered), mergedZones, mergedKinds, linkIdleMs,
+                maxStreamsPerLink, classNumbers, tenantNumbers);
+    }
+
+    /** The merged names up to the last one that is listed: the numbers of those behind it are not needed here. */
+    private static List<String> upToLastOf(List<String> listed, List<String> merged) {
+        int end = merged.size();
+        while (end > 0 && !listed.contains(merged.get(end - 1))) {
+            end--;
+        }
+        return merged.subList(0, end);
+    }
+
+    /** Numbers that are places in {@code names} as places in {@code merged}; null stays null. */
+    private static List<Integer> renumber(List<Integer> numbers, List<String> names, List<String> merged) {
+        return numbers == null ? null : numbers.stream().filter(n -> n >= 0 && n < names.size())
+                .map(n -> merged.indexOf(names.get(n))).toList();
+    }
+
+    /** Values by kind in these settings; a kind that they do not name keeps its previous value. */
+    private List<Double> byMergedKind(List<String> merged, List<Double> values, List<Double> previousValues) {
+        List<Double> out = new ArrayList<>();
+        for (int number = 0; number < Math.max(merged.size(), previousValues.size()); number++) {
+            int place = number < merged.size() ? kinds.indexOf(merged.get(number)) : -1;
+            out.add(place >= 0 ? valueAt(values, place) : valueAt(previousValues, number));
+        }
+        while (!out.isEmpty() && out.get(out.size() - 1) == 0) { // 0 stands for a value that is not known
+            out.remove(out.size() - 1);
+        }
+        return List.copyOf(out);
+    }
+
+    private static double valueAt(List<Double> values, int index) {
+        return index < values.size() ? values.get(index) : 0;
+    }
+
+    /** These settings with other lists of zones and kinds, in which theirs have the same numbers. */
+    RoutingSettings withPlaces(List<String> allZones, List<String> allKinds) {
+        return new RoutingSettings(decision, allZones, allKinds, linkIdleMs, maxStreamsPerLink, classNumbers, tenantNumbers);
     }
 
     /** These settings for the front end at place {@code index} among {@code count}. */
--- a/frontend/src/test/java/quincespar/routing/SimulatedRouter.java
+++ b/frontend/src/test/java/quincespar/routing/SimulatedRouter.java
@@ -7,6 +7,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
 import quincespar.decision.Scheduler;
 import quincespar.decision.GcMuScheduler;
 import quincespar.membership.PollTiming;
@@ -26,6 +28,11 @@
     static final long MAX_REQUEST_BYTES = 8 << 20;
 
     static RoutingSettings settings(int maxAttempts, Spec... specs) {
+        return settings(Map.of(), maxAttempts, specs);
+    }
+
+    /** Settings with further pairs of path and value. */
+    static RoutingSettings settings(Map<String, String> further, int maxAttempts, Spec... specs) {
         Map<String, String> pairs = new HashMap<>(Map.of("requestClasses.count", "" + specs.length, "tick", "1",
                 "limits.maxAttempts", "" + maxAttempts, "limits.cancelling", "true", "projects.count", "1",
                 "projects.0.name", "acme", "projects.0.quotaPerS", "1000", "rules.settleAfterDoubt", "300"));
@@ -35,6 +42,7 @@
                     "requestClasses." + i + ".keepOrder", "" + specs[i].ordered(), "requestClasses." + i + ".keyScope", "all",
                     "requestClasses." + i + ".repeatWindow", "12000"));
         }
+        pairs.putAll(further);
         return RoutingSettings.of(pairs);
     }
 
@@ -48,6 +56,8 @@
     /** Attempts at engines, by txn. */
     final Map<String, Effect.Send> running = new LinkedHashMap<>();
     final List<Effect> effects = new ArrayList<>();
+    private final List<Effect.Send> sent = new ArrayList<>();
+    private final Map<Long, String> addressesByLink = new HashMap<>();
     /** Whether attempts and cancels wait in an outbox; an attempt that does is never written. */
     boolean outboxBlocked;
     final List<Effect.Cancel> unwrittenCancels = new ArrayList<>();
@@ -112,6 +122,17 @@
         return new FleetEvent.Member(id, "127.0.0.1:1", "", "", 0, phase, 1, 0);
     }
 
+    /** An engine at an address of its own. */
+    static FleetEvent.Member engineAt(String zone, String kind, int cell, String id, int port) {
+        return new FleetEvent.Member(id, "127.0.0.1:" + port, zone, kind, cell, Phase.UP, 1, 0);
+    }
+
+    /** The ports of the engines to which a request has been sent. */
+    Set<Integer> portsOf(String txn) {
+        return sent.stream().filter(s -> s.txn().equals(txn)).map(s -> addressesByLink.get(s.link()))
+                .map(address -> Integer.valueOf(address.split(":")[1])).collect(Collectors.toSet());
+    }
+
     /** The change log answers the open poll with one event. */
     void changes(FleetEvent.Member... members) {
         step(new Input.ChangesReceived(pollId, ++lastEvent,
@@ -129,6 +150,7 @@
         for (Effect effect : newEffects) {
             if (effect instanceof Effect.OpenLink e) {
                 inputs.add(new Input.LinkUp(e.link()));
+                addressesByLink.put(e.link(), e.address());
             } else if (effect instanceof Effect.Cancel e && outboxBlocked) {
                 unwrittenCancels.add(e);
             } else if (effect instanceof Effect.Send e && !outboxBlocked) {
@@ -136,6 +158,7 @@
                 assertThat(e.write().begin()).isTrue();
                 inputs.add(new Input.SendWritten(e.key()));
                 sends.merge(e.txn(), 1, Integer::sum);
+                sent.add(e);
                 running.put(e.txn(), e);
             } else if (effect instanceof Effect.Cancel e) {
                 running.remove(e.txn());
