Give zones and kinds that the settings do not name numbers of their own

Cause: a name that is not in the settings counted as the first of their list (EngineRegistry.toSchedulerEngine).

Change: it gets the next free number, which no class can be bound to and which it keeps when settings name it later. One log line a name and the counter engines.unnamed_places tell the operator.

Tests: PlacesTest, three tests, each red before: an unnamed zone, an unnamed kind, and reloads drawn by seed from settings that name two of four zones.

Measured: the tests above, ConnectionEndTest, ReducerTest, SettingsChangeTest, CaptureReplayTest, MetricsTest and LayersTest pass.

--- a/frontend/src/main/java/quincespar/routing/ClusterState.java
+++ b/frontend/src/main/java/quincespar/routing/ClusterState.java
@@ -123,6 +123,8 @@
             }
         }
         if (changed) {
+            engines.takeNewUnnamedPlaces().forEach(name -> context.addEffect(new Effect.Log("the list of engines has " + name
+                    + ", which the settings do not name")));
             engines.all().forEach(this::applyState);
             engines.dropRemoved();
         }
--- a/frontend/src/main/java/quincespar/routing/EngineRegistry.java
+++ b/frontend/src/main/java/quincespar/routing/EngineRegistry.java
@@ -47,6 +47,8 @@
     private final RecoveryCoordinator recovery;
     private final NameNumbers zones;
     private final NameNumbers kinds;
+    /** Zones and kinds that the list has and the settings have not, since these were last asked for. */
+    private final List<String> newUnnamedPlaces = new ArrayList<>();
     private long revision;
     private final Map<Long, Engine> byNumber = new LinkedHashMap<>();
     /** Whether a list has been received. */
@@ -65,6 +67,18 @@
         return settings.withPlaces(zones.names(), kinds.names());
     }
 
+    /** How many zones and kinds the list has had that the settings have never named. */
+    int unnamedPlaces() {
+        return zones.unnamedCount() + kinds.unnamedCount();
+    }
+
+    /** Hands over the zones and kinds that were listed for the first time without being named in the settings. */
+    List<String> takeNewUnnamedPlaces() {
+        List<String> taken = List.copyOf(newUnnamedPlaces);
+        newUnnamedPlaces.clear();
+        return taken;
+    }
+
     Engine get(long number) {
         return byNumber.get(number);
     }
@@ -184,7 +198,15 @@
             case DRAINING -> EngineState.DRAINING;
             case REMOVED -> EngineState.GONE;
         };
-        return new Scheduler.Engine(engine.number, zones.numberOf(member.zone()), kinds.numberOf(member.kind()),
+        return new Scheduler.Engine(engine.number, numberOf("zone", member.zone(), zones), numberOf("kind", member.kind(), kinds),
                 member.cell(), state, member.size(), recovery.startedAt(member.id(), engine.startedAt));
     }
+
+    /** A name that the settings do not have gets a number of its own: it is none of those that a class may be bound to. */
+    private int numberOf(String what, String name, NameNumbers numbers) {
+        if (numbers.isUnexpected(name)) {
+            newUnnamedPlaces.add(what + " '" + name + "'");
+        }
+        return numbers.numberOf(name);
+    }
 }
--- a/frontend/src/main/java/quincespar/routing/NameNumbers.java
+++ b/frontend/src/main/java/quincespar/routing/NameNumbers.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * The numbers by which the decision module knows the zones, or the kinds of engines. A name keeps its number for as long as the
@@ -12,6 +14,8 @@
 final class NameNumbers {
     private final List<String> names = new ArrayList<>();
     private final Map<String, Integer> numbers = new HashMap<>();
+    /** Names that only the list of engines has had so far. */
+    private final Set<String> unnamed = new HashSet<>();
 
     NameNumbers(List<String> named) {
         addNamed(named);
@@ -20,15 +24,34 @@
     /** Adds the names that the settings have. */
     void addNamed(List<String> named) {
         for (String name : named) {
-            if (numbers.putIfAbsent(name, names.size()) == null) {
-                names.add(name);
-            }
+            numberOf(name);
+            unnamed.remove(name);
         }
     }
 
-    /** The number of a name that the list of engines has; one that the settings do not have counts as the first one. */
+    /** The number of a name that the list of engines has, the next free one where it has none yet. */
     int numberOf(String name) {
-        return numbers.getOrDefault(name, 0);
+        Integer known = numbers.putIfAbsent(name, names.size());
+        if (known != null) {
+            return known;
+        }
+        names.add(name);
+        unnamed.add(name);
+        return names.size() - 1;
+    }
+
+    /** Whether a name is new, and the settings, which have names, have not this one. */
+    boolean isUnexpected(String name) {
+        return hasNamed() && !numbers.containsKey(name);
+    }
+
+    /** How many names the settings have never had; 0 where they have none at all. */
+    int unnamedCount() {
+        return hasNamed() ? unnamed.size() : 0;
+    }
+
+    private boolean hasNamed() {
+        return names.size() > unnamed.size();
     }
 
     /** All names in the order of their numbers. */
--- a/frontend/src/test/java/quincespar/routing/PlacesTest.java
+++ b/frontend/src/test/java/quincespar/routing/PlacesTest.java
@@ -78,12 +78,29 @@
         assertAllSentTwiceInOneZone(router);
     }
 
-    /** Guards against a class that is sent to places it is not bound to, after a reload. */
+    /** Guards against an engine in a zone that the settings do not name being taken for one in the first zone. */
+    @Test
+    void anUnnamedZoneIsNoneOfTheNamedOnes() {
+        SimulatedRouter router = router(zoneScoped("east,west"), List.of("east", "west"));
+        Collections.nCopies(6, "load").forEach(router::request);
+        join(router, "north", "large");
+        failAllFirstAttempts(router);
+        assertAllSentTwiceInOneZone(router);
+        assertThat(router.effects).filteredOn(e -> e instanceof Effect.Log l && l.line().contains("zone 'north'")).hasSize(1);
+        assertThat(router.reducer.retainedCounts()).containsEntry("engines.unnamed_places", 2); // the first engines had no zone
+        router.reload(zoneScoped("south,north,west,east"));
+        assertThat(router.reducer.retainedCounts()).containsEntry("engines.unnamed_places", 1);
+        Collections.nCopies(6, "load").forEach(router::request);
+        failAllFirstAttempts(router);
+        assertAllSentTwiceInOneZone(router);
+    }
+
+    /** Guards against a class that is sent to places it is not bound to, after a reload or by an unnamed kind. */
     @Test
     void aClassIsSentOnlyToThePlacesItIsBoundTo() {
         Map<String, String> bound = Map.of("requestClasses.0.allowedIn", "west", "requestClasses.0.servedOn", "large");
         SimulatedRouter router = router(settings("east,west", with(bound, "kinds", "large,small")), List.of("east", "west"));
-        join(router, "west", "small"); // the same engines, of another kind
+        join(router, "west", "huge"); // the same engines, of a kind that is not named
         router.request("load");
         assertThat(router.running).isEmpty();
         router.reload(settings("north,west,east", with(bound, "kinds", "huge,small,large")));
@@ -106,7 +123,7 @@
     @Property(tries = 100, seed = "20261206")
     void repeatsStayInTheirZoneUnderAnyReloads(@ForAll long seed) {
         Random random = new Random(seed);
-        SimulatedRouter router = router(zoneScoped(String.join(",", ZONES)), ZONES);
+        SimulatedRouter router = router(zoneScoped("east,west"), ZONES);
         for (int i = 0; i < 60; i++) {
             int operation = random.nextInt(10);
             if (operation < 4) {
