Count a zone as named only where the settings themselves name it

Cause: the zones of settings in force also have names that only the list of engines has had, where one that is named now has a higher number.

Change: the names are taken from the settings as they were read (EngineRegistry.renumber).

--- a/frontend/src/main/java/quincespar/routing/ClusterState.java
+++ b/frontend/src/main/java/quincespar/routing/ClusterState.java
@@ -83,7 +83,7 @@
             metrics.configurationLoaded();
             context.addEffect(new Effect.ConfigurationAccepted(input.document()));
             // open requests, links and what is known of the fleet are kept
-            peers.configure(input.settings().keepingNumbersOf(engines.withKnownPlaces(context.settings)));
+            peers.configure(engines.renumber(input.settings(), context.settings));
             updateOverlap();
             perform(membership.addressChanged(context.now, input.changeLogAddress()));
         }
@@ -116,7 +116,7 @@
                 changed = true;
             } else if (action instanceof Membership.HoldSends a) {
                 engines.hold(a.held());
-                context.addEvent(engines.relist(context.settings));
+                context.addEvent(engines.relist());
                 changed = true;
             } else if (action instanceof Membership.Log a) {
                 context.addEffect(new Effect.Log(a.line()));
@@ -208,7 +208,7 @@
     /** Tells the module the list again if recovery has changed which engines take work, or since when they count as started. */
     void relistAfterRecovery() {
         if (recovery.takeRelist()) {
-            context.addEvent(engines.relist(context.settings));
+            context.addEvent(engines.relist());
             engines.all().forEach(this::applyState);
         }
     }
@@ -222,7 +222,7 @@
             recovery.setClasses(next);
             context.addEffect(new Effect.ApplySettings(next));
             context.addEvent(new Scheduler.SettingsChanged(next.decision(), next.droppedClasses()));
-            context.addEvent(engines.relist(next));
+            context.addEvent(engines.relist());
         }
     }
 }
--- a/frontend/src/main/java/quincespar/routing/EngineRegistry.java
+++ b/frontend/src/main/java/quincespar/routing/EngineRegistry.java
@@ -62,9 +62,12 @@
         kinds = new NameNumbers(settings.kinds());
     }
 
-    /** These settings with all zones and kinds that are known here, so that later settings keep their numbers. */
-    RoutingSettings withKnownPlaces(RoutingSettings settings) {
-        return settings.withPlaces(zones.names(), kinds.names());
+    /** The settings that follow {@code current}, in which all zones and kinds that are known here keep their numbers. */
+    RoutingSettings renumber(RoutingSettings next, RoutingSettings current) {
+        RoutingSettings renumbered = next.keepingNumbersOf(current.withPlaces(zones.names(), kinds.names()));
+        zones.addNamed(next.zones());
+        kinds.addNamed(next.kinds());
+        return renumbered;
     }
 
     /** How many zones and kinds the list has had that the settings have never named. */
@@ -149,10 +152,8 @@
         byNumber.values().removeIf(e -> e.listed.phase() == Phase.REMOVED && e.links.isEmpty());
     }
 
-    /** The whole list again, with zones and kinds numbered as in these settings. */
-    Scheduler.EngineList relist(RoutingSettings next) {
-        zones.addNamed(next.zones());
-        kinds.addNamed(next.kinds());
+    /** The whole list again. */
+    Scheduler.EngineList relist() {
         byNumber.values().forEach(e -> e.withheld = held || recovery.withholds(e.listed));
         return new Scheduler.EngineList(Scheduler.ListKind.FULL, revision, byNumber.values().stream()
                 .filter(e -> e.listed.phase() != Phase.REMOVED).map(this::toSchedulerEngine).toList());
