Send nothing to engines of which it is not known which one has an address

Cause: an engine counted as replaced only by the event that listed a new id at its address, and only if it was known before; the first list has no before. Any later event that named the old engine took the mark away. Evidence: with the new engine in a later event nothing is repeated elsewhere; a test with the old one named again fails.

Change: after each event the engines at one address are compared by the event since which they have it; older ones get no work until they move or restart, and where the order is not known none does until the list has one only. A log line and the counter engines.in_doubt tell the operator. This works because readiness follows from the whole list and not from the order in which it was learned.

SimulatedRouter and ReducerTest listed all engines at one address, which no two processes can have; each has its own now, their checks are as before.

--- a/frontend/src/main/java/quincespar/routing/ClusterState.java
+++ b/frontend/src/main/java/quincespar/routing/ClusterState.java
@@ -123,8 +123,7 @@
             }
         }
         if (changed) {
-            engines.takeNewUnnamedPlaces().forEach(name -> context.addEffect(new Effect.Log("the list of engines has " + name
-                    + ", which the settings do not name")));
+            engines.takeNotices().forEach(line -> context.addEffect(new Effect.Log(line)));
             engines.all().forEach(this::applyState);
             engines.dropRemoved();
         }
--- a/frontend/src/main/java/quincespar/routing/EngineRegistry.java
+++ b/frontend/src/main/java/quincespar/routing/EngineRegistry.java
@@ -2,11 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 import quincespar.decision.Scheduler;
 import quincespar.decision.Scheduler.EngineState;
 import quincespar.protocol.FleetEvent;
@@ -26,8 +27,12 @@
         double startedAt;
         /** It gets no work although it is listed as up: it had drained before a power loss, or all sends are on hold. */
         boolean withheld;
-        /** A newer engine has its address, so that its process has gone, though the list has not said so yet. */
-        boolean replaced;
+        /** The number of the list's event since which it has its address: it was new, moved or restarted then. */
+        private long hasAddressSince;
+        /** A newer engine has its address, so that its process has gone, though the list may not have said so yet. */
+        private boolean replaced;
+        /** Another engine is listed at its address, and which of the two is the newer one is not known. */
+        private boolean addressInDoubt;
 
         Engine(long number, FleetEvent.Member listed, double startedAt) {
             this.number = number;
@@ -37,7 +42,18 @@
 
         /** Whether it takes new work. */
         boolean ready() {
-            return listed.phase() == Phase.UP && !withheld && !replaced;
+            return listed.phase() == Phase.UP && !withheld && !replaced && !addressInDoubt;
+        }
+
+        /** Whether its process has certainly begun after that of the other one, which is listed at the same address. */
+        private boolean isNewerThan(Engine other) {
+            boolean sameEvent = hasAddressSince == other.hasAddressSince;
+            return sameEvent ? listed.startedAt() > 0 && other.listed.startedAt() == 0 : hasAddressSince > other.hasAddressSince;
+        }
+
+        private boolean movesOrRestarts(FleetEvent.Member next) {
+            return listed.phase() == Phase.REMOVED && next.phase() != Phase.REMOVED || !next.address().equals(listed.address())
+                    || next.startedAt() > 0 && next.startedAt() != listed.startedAt();
         }
     }
 
@@ -47,8 +63,9 @@
     private final RecoveryCoordinator recovery;
     private final NameNumbers zones;
     private final NameNumbers kinds;
-    /** Zones and kinds that the list has and the settings have not, since these were last asked for. */
-    private final List<String> newUnnamedPlaces = new ArrayList<>();
+    /** What operators are told of the list, since this was last taken. */
+    private final List<String> notices = new ArrayList<>();
+    private long lastEvent;
     private long revision;
     private final Map<Long, Engine> byNumber = new LinkedHashMap<>();
     /** Whether a list has been received. */
@@ -75,10 +92,15 @@
         return zones.unnamedCount() + kinds.unnamedCount();
     }
 
-    /** Hands over the zones and kinds that were listed for the first time without being named in the settings. */
-    List<String> takeNewUnnamedPlaces() {
-        List<String> taken = List.copyOf(newUnnamedPlaces);
-        newUnnamedPlaces.clear();
+    /** How many engines get no work because another one is listed at their address, and either may be the newer one. */
+    int inDoubt() {
+        return (int) byNumber.values().stream().filter(e -> e.addressInDoubt && e.listed.phase() == Phase.UP).count();
+    }
+
+    /** Hands over what operators are told of the list. */
+    List<String> takeNotices() {
+        List<String> taken = List.copyOf(notices);
+        notices.clear();
         return taken;
     }
 
@@ -120,26 +142,39 @@
                 : listReceived ? Scheduler.ListKind.FULL : Scheduler.ListKind.CACHED;
         listReceived = true;
         revision = event.revision();
-        List<Scheduler.Engine> changed = new ArrayList<>();
-        Set<Long> earlier = Set.copyOf(byNumber.keySet());
-        event.members().forEach(m -> changed.add(toSchedulerEngine(update(m, kind, now))));
+        lastEvent++;
+        Set<Engine> changed = new LinkedHashSet<>();
+        event.members().forEach(m -> changed.add(update(m, kind, now)));
         removed.forEach(m -> update(m, kind, now));
-        markReplaced(earlier, event.members()).forEach(e -> changed.add(toSchedulerEngine(e)));
-        return new Scheduler.EngineList(kind, event.revision(), changed);
+        changed.addAll(checkAddresses());
+        return new Scheduler.EngineList(kind, event.revision(), changed.stream().map(this::toSchedulerEngine).toList());
     }
 
-    /** Marks the engines that a new engine in the list replaces at their address, and returns them. */
-    private List<Engine> markReplaced(Set<Long> earlier, List<FleetEvent.Member> members) {
-        Set<String> newAddresses = new HashSet<>();
-        for (FleetEvent.Member member : members) {
-            if (member.phase() != Phase.REMOVED && !earlier.contains(number(member.id()))) {
-                newAddresses.add(member.address());
-            }
+    /**
+     * An address is one process: of the engines that are listed there only the newest can still be running, and where that is not
+     * known none gets work, as what is meant for one could run at the other. Returns the engines for which this has changed.
+     */
+    private List<Engine> checkAddresses() {
+        Set<Engine> readyBefore = byNumber.values().stream().filter(Engine::ready).collect(Collectors.toSet());
+        Map<String, List<Engine>> byAddress = byNumber.values().stream().filter(e -> e.listed.phase() != Phase.REMOVED)
+                .collect(Collectors.groupingBy(e -> e.listed.address()));
+        byAddress.values().forEach(EngineRegistry::findReplaced);
+        byAddress.values().forEach(this::findDoubtful);
+        return byNumber.values().stream().filter(e -> e.ready() != readyBefore.contains(e)).toList();
+    }
+
+    private static void findReplaced(List<Engine> atOneAddress) {
+        atOneAddress.forEach(e -> e.replaced |= atOneAddress.stream().anyMatch(other -> other.isNewerThan(e)));
+    }
+
+    private void findDoubtful(List<Engine> atOneAddress) {
+        List<Engine> candidates = atOneAddress.stream().filter(e -> !e.replaced).toList();
+        boolean inDoubt = candidates.size() > 1;
+        if (inDoubt && !candidates.get(0).addressInDoubt) {
+            notices.add("engines " + candidates.stream().map(e -> e.listed.id()).toList() + " are listed at one address, "
+                    + candidates.get(0).listed.address() + "; they get no work until the list has one of them only");
         }
-        List<Engine> replaced = newAddresses.isEmpty() ? List.of() : byNumber.values().stream()
-                .filter(e -> earlier.contains(e.number) && e.ready() && newAddresses.contains(e.listed.address())).toList();
-        replaced.forEach(e -> e.replaced = true);
-        return replaced;
+        candidates.forEach(e -> e.addressInDoubt = inDoubt);
     }
 
     /** Puts all sends on hold, or ends that; takes effect with the next {@link #relist}. */
@@ -166,8 +201,11 @@
         if (member.startedAt() != engine.listed.startedAt()) {
             engine.startedAt = startedAt(member, change, now);
         }
+        if (engine.hasAddressSince == 0 || engine.movesOrRestarts(member)) {
+            engine.hasAddressSince = lastEvent;
+            engine.replaced = false;
+        }
         engine.listed = member;
-        engine.replaced = false;
         recovery.engineListed(member);
         engine.withheld = held || recovery.withholds(member);
         return engine;
@@ -206,7 +244,7 @@
     /** A name that the settings do not have gets a number of its own: it is none of those that a class may be bound to. */
     private int numberOf(String what, String name, NameNumbers numbers) {
         if (numbers.isUnexpected(name)) {
-            newUnnamedPlaces.add(what + " '" + name + "'");
+            notices.add("the list of engines has " + what + " '" + name + "', which the settings do not name");
         }
         return numbers.numberOf(name);
     }
--- a/frontend/src/main/java/quincespar/routing/Reducer.java
+++ b/frontend/src/main/java/quincespar/routing/Reducer.java
@@ -144,6 +144,7 @@
         requests.addRetainedCounts(out);
         links.addRetainedCounts(out);
         out.put("held.engines", engines.all().size());
+        out.put("engines.in_doubt", engines.inDoubt());
         out.put("engines.unnamed_places", engines.unnamedPlaces());
         out.put("held.attempts", attempts.openCount());
         out.put("held.module-attempts", scheduler.openAttemptCount());
--- a/frontend/src/test/java/quincespar/routing/ReducerTest.java
+++ b/frontend/src/test/java/quincespar/routing/ReducerTest.java
@@ -54,7 +54,7 @@
 
     private static FleetEvent fleetEvent(long seq, Phase phase, String... ids) {
         return new FleetEvent(seq, seq, seq == 1, Arrays.stream(ids).map(id ->
-                new FleetEvent.Member(id, "127.0.0.1:1", "", "", 0, phase, 1, 0)).toList());
+                new FleetEvent.Member(id, id + ":1", "", "", 0, phase, 1, 0)).toList());
     }
 
     private void step(Input... inputs) {
@@ -421,7 +421,7 @@
 
     private static FleetEvent started(long seq, String id, double startedAt) {
         return new FleetEvent(seq, seq, false,
-                List.of(new FleetEvent.Member(id, "127.0.0.1:1", "", "", 0, Phase.UP, 1, startedAt)));
+                List.of(new FleetEvent.Member(id, id + ":1", "", "", 0, Phase.UP, 1, startedAt)));
     }
 
     private double lastStartedAt() {
--- a/frontend/src/test/java/quincespar/routing/SimulatedRouter.java
+++ b/frontend/src/test/java/quincespar/routing/SimulatedRouter.java
@@ -119,7 +119,7 @@
     }
 
     static FleetEvent.Member member(String id, Phase phase) {
-        return new FleetEvent.Member(id, "127.0.0.1:1", "", "", 0, phase, 1, 0);
+        return new FleetEvent.Member(id, id + ":1", "", "", 0, phase, 1, 0);
     }
 
     /** An engine at an address of its own. */
