Move which connections of clients may stay out of Requests

Requests (535 lines) also decided which connection loses its place to another. That is CallerPlaces now, with the two limits and the timers that belong to it; Requests has 410 lines. No behaviour is changed.

Tests: none changed; ReducerTest, ConnectionEndTest, ThriftServerTest, OrderByKeyTest, RetainedStateTest, LayersTest and DescriptorLimitIT pass.

--- a/frontend/src/main/java/quincespar/routing/CallerConnections.java
+++ b/frontend/src/main/java/quincespar/routing/CallerConnections.java
@@ -108,7 +108,7 @@
         connection.open.add(request);
     }
 
-    /** A request was answered without being opened, which shows that the connection is used. True where no request is open on it. */
+    /** A request was answered without being opened, which shows that its connection is used. True where none is open on it. */
     boolean requestNotOpened(long id, double now) {
         CallerConnection connection = byId.get(id);
         if (connection == null || isDisplaced(connection) || !connection.open.isEmpty()) {
--- a/frontend/src/main/java/quincespar/routing/Reducer.java
+++ b/frontend/src/main/java/quincespar/routing/Reducer.java
@@ -203,13 +203,13 @@
         } else if (input instanceof Input.RequestCancelled i) {
             requests.cancelled(i.caller());
         } else if (input instanceof Input.CallerDisconnected i) {
-            requests.callerDisconnected(i.connection());
+            requests.places().disconnected(i.connection());
         } else if (input instanceof Input.CallerConnected i) {
-            requests.callerConnected(i.connection());
+            requests.places().connected(i.connection());
         } else if (input instanceof Input.CallerNotClosed i) {
-            requests.callerNotClosed(i.connection());
+            requests.places().notClosed(i.connection());
         } else if (input instanceof Input.RequestDropped i) {
-            requests.notOpened(i.connection());
+            requests.places().requestNotOpened(i.connection());
         } else if (input instanceof Input.HealthRequested i) {
             context.addEffect(new Effect.AnswerHealth(i.caller()));
         } else if (input instanceof Input.ChangesReceived i) {
@@ -221,7 +221,7 @@
         } else if (input instanceof Input.OtherProcesses i) {
             cluster.otherProcesses(i);
         } else if (input instanceof Input.CallerLimitChanged i) {
-            requests.limitCallers(i.maxCallers(), i.maxBusyCallers());
+            requests.places().setLimits(i.maxCallers(), i.maxBusyCallers());
         } else if (input instanceof Input.ShutdownScheduled i) {
             requests.scheduleShutdown(i.time());
         } else if (input instanceof Input.RefuseNewRequests) {
@@ -298,7 +298,7 @@
         } else if (key instanceof TimerKey.PartialMessage k) {
             links.partialMessageTimedOut(k.link());
         } else if (key instanceof TimerKey.CallerIdle k) {
-            requests.callerIdle(k.connection());
+            requests.places().idleTimeout(k.connection());
         } else if (key instanceof TimerKey.CallerInputUnread k) {
             requests.callerInputUnreadTooLong(k.connection());
         } else if (key instanceof TimerKey.ProbeTimeout k) {
--- a/frontend/src/main/java/quincespar/routing/Requests.java
+++ b/frontend/src/main/java/quincespar/routing/Requests.java
@@ -4,7 +4,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.OptionalLong;
 import quincespar.decision.Scheduler;
 import quincespar.metrics.MetricsRecorder;
 import quincespar.metrics.MetricsSnapshot;
@@ -18,10 +17,6 @@
     /** No attempt may begin for longer than this after its client has left, which unread input may hide. */
     private static final double MAX_INPUT_UNREAD_MS = 100;
     private static final double LATE_ANSWER_LOG_INTERVAL_MS = 100;
-    /** When room is made beyond the limit on busy connections: what a client has sent by then is answered. */
-    private static final double SPARE_IDLE_MS = 30;
-    /** After that many times, a displaced connection whose client sends on is closed all the same. */
-    private static final int MAX_DISPLACED_CLOSE_ATTEMPTS = 5;
 
     private final Map<Long, OpenRequest> byId = new LinkedHashMap<>();
     private final Map<Caller, OpenRequest> unanswered = new LinkedHashMap<>();
@@ -29,6 +24,7 @@
     private final Map<String, OpenRequest> byTxn = new HashMap<>();
     private final CompletedTransactions completed = new CompletedTransactions();
     private final CallerConnections connections = new CallerConnections();
+    private final CallerPlaces places;
     private final OrderingKeys orderingKeys = new OrderingKeys();
     private final RequestMemory memory;
     private final StepContext context;
@@ -38,11 +34,8 @@
     /** Whether ordering keys are locked against other processes of this front end. */
     private final boolean locksKeys;
     private Attempts attempts;
-    private int maxCallers;
-    private int maxBusyCallers;
     private int refusedForMemory;
     private int refusedForPlace;
-    private int displacedCallers;
     private int answeredLate;
     private double lateAnswerLoggedAt = Double.NEGATIVE_INFINITY;
     private boolean refusing;
@@ -56,14 +49,18 @@
         this.recovery = recovery;
         this.locksKeys = locksKeys;
         memory = new RequestMemory(bounds.maxRequestBytes());
-        maxCallers = bounds.maxCallers();
-        maxBusyCallers = bounds.maxBusyCallers();
+        places = new CallerPlaces(context, bounds, connections, this::endUnserved, this::cancelled);
     }
 
     void setAttempts(Attempts attempts) {
         this.attempts = attempts;
     }
 
+    /** The places of the clients' connections. */
+    CallerPlaces places() {
+        return places;
+    }
+
     OpenRequest get(long id) {
         return byId.get(id);
     }
@@ -83,11 +80,6 @@
                 Math.round(orderingKeys.longestWaitMs(context.now)));
     }
 
-    void limitCallers(int max, int maxBusy) {
-        maxCallers = max;
-        maxBusyCallers = maxBusy;
-    }
-
     void refuseNew() {
         refusing = true;
     }
@@ -108,7 +100,7 @@
         out.put("held.request-bytes", (int) memory.totalBytes());
         out.put("requests.refused_for_memory", refusedForMemory);
         out.put("requests.refused_for_place", refusedForPlace);
-        out.put("callers.displaced", displacedCallers);
+        out.put("callers.displaced", places.displacedCount());
         out.put("answers.late", answeredLate);
     }
 
@@ -130,106 +122,6 @@
         }
     }
 
-    /** A client's connection has had no open request for too long, or has not yet sent one. */
-    void callerIdle(long connection) {
-        CallerConnections.CallerConnection found = connections.get(connection);
-        if (found == null) {
-            return;
-        }
-        if (connections.isDisplaced(found)) {
-            closeDisplaced(found);
-        } else if (connections.isIdle(found) && context.now - found.idleSince < bounds.callerIdleMs()) {
-            makeRoomBefore(found);
-        } else if (found.open.isEmpty()) {
-            closeCaller(connection, "nothing open");
-        }
-    }
-
-    /** Beyond the limit on busy connections closes the least needed one, which an idle one need not be. */
-    private void makeRoomBefore(CallerConnections.CallerConnection idle) {
-        if (connections.keptCount() > maxBusyCallers) {
-            connections.leastNeeded(context.now).ifPresent(id -> closeCaller(id, "its place is needed"));
-        }
-        if (connections.isIdle(idle)) {
-            startIdleTimer(idle.id);
-        }
-    }
-
-    void callerConnected(long connection) {
-        connections.connected(connection, context.now);
-        boolean tooMany = connections.keptCount() > maxCallers;
-        OptionalLong leastNeeded = tooMany ? connections.leastNeededBut(connection, context.now) : OptionalLong.empty();
-        leastNeeded.ifPresent(id -> closeCaller(id, "its place is needed"));
-        context.startTimer(new TimerKey.CallerIdle(connection), tooMany && leastNeeded.isEmpty()
-                ? CallerConnections.FIRST_SEND_MS : bounds.firstRequestMs());
-    }
-
-    /**
-     * A connection that was to be closed stays open. It counts as a new one, but no connection is closed in its place: where
-     * none can be closed, the event loop and the reducer would repeat that for ever.
-     */
-    void callerNotClosed(long connection) {
-        CallerConnections.CallerConnection found = connections.get(connection);
-        if (found != null && connections.isDisplaced(found)) {
-            context.startTimer(new TimerKey.CallerIdle(connection), SPARE_IDLE_MS);
-            return;
-        }
-        connections.connected(connection, context.now);
-        context.startTimer(new TimerKey.CallerIdle(connection), bounds.firstRequestMs());
-    }
-
-    /** Closes a displaced connection if it is idle, and in the end also if its client always has more to send. */
-    private void closeDisplaced(CallerConnections.CallerConnection connection) {
-        connection.closeAttempts++;
-        context.addEffect(connection.closeAttempts > MAX_DISPLACED_CLOSE_ATTEMPTS ? new Effect.EndCaller(connection.id)
-                : new Effect.CloseCaller(connection.id, "its place is needed"));
-    }
-
-    /** Answers the open requests of a connection and closes it, as its place is needed. */
-    private void displace(CallerConnections.CallerConnection connection) {
-        displacedCallers++;
-        connections.displace(connection);
-        List.copyOf(connection.open).forEach(this::endUnserved);
-        context.startTimer(new TimerKey.CallerIdle(connection.id), SPARE_IDLE_MS);
-    }
-
-    /**
-     * Whether a request may be opened on its connection. Connections beyond the limit on busy ones are accepted all the same, so
-     * that their requests have an answer: such a connection is displaced, unless another has many requests open.
-     */
-    private boolean hasPlace(long id) {
-        CallerConnections.CallerConnection connection = connections.get(id);
-        if (connection != null && connections.isDisplaced(connection)) {
-            return false;
-        }
-        if (connections.busyCount() < maxBusyCallers) {
-            return true;
-        }
-        if (connection == null) { // it was to be closed, and this request has come before that
-            connection = connections.connected(id, context.now);
-        }
-        if (!connection.open.isEmpty()) {
-            return connection.open.size() < CallerConnections.MAX_OPEN_AT_LIMIT;
-        }
-        CallerConnections.CallerConnection busiest = connections.busiest();
-        displace(busiest == null ? connection : busiest);
-        return busiest != null;
-    }
-
-    private void closeCaller(long connection, String cause) {
-        context.addEffect(new Effect.CloseCaller(connection, cause));
-        callerDisconnected(connection);
-    }
-
-    void callerDisconnected(long connection) {
-        context.stopTimer(new TimerKey.CallerIdle(connection));
-        context.stopTimer(new TimerKey.CallerInputUnread(connection));
-        CallerConnections.CallerConnection removed = connections.remove(connection);
-        if (removed != null) {
-            List.copyOf(removed.open).forEach(r -> cancelled(r.caller));
-        }
-    }
-
     void received(Input.RequestReceived input) {
         Query query = input.query();
         if (unanswered.containsKey(input.caller()) || byTxn.containsKey(query.txn())
@@ -243,7 +135,7 @@
             answerUnopened(input, new Reply.Refused(retryAfterMs));
             return;
         }
-        if (!hasPlace(input.caller().connection())) {
+        if (!places.hasPlace(input.caller().connection())) {
             refusedForPlace++;
             answerUnopened(input, new Reply.Refused(0));
             return;
@@ -268,21 +160,7 @@
 
     private void answerUnopened(Caller caller, int classNumber, Reply reply) {
         reply(caller, classNumber, reply);
-        notOpened(caller.connection());
-    }
-
-    /** A request on this connection was answered without being opened: the connection is in use for as long as after others. */
-    void notOpened(long connection) {
-        if (connections.requestNotOpened(connection, context.now)) {
-            startIdleTimer(connection);
-        }
-    }
-
-    /** Beyond the limit on busy connections room is made soon, as new ones may wait to be accepted. */
-    private void startIdleTimer(long connection) {
-        double idleMs = context.now - connections.get(connection).idleSince;
-        context.startTimer(new TimerKey.CallerIdle(connection),
-                connections.keptCount() > maxBusyCallers ? SPARE_IDLE_MS : bounds.callerIdleMs() - idleMs);
+        places.requestNotOpened(caller.connection());
     }
 
     /** After how long the client of a request that must be refused may try again; NaN where it may be opened. */
@@ -312,8 +190,7 @@
         byTxn.put(query.txn(), request);
         request.orderingKey = orderingKeys.add(request, context.now);
         lockKey(request, input.receivedAt());
-        connections.requestOpened(request);
-        context.stopTimer(new TimerKey.CallerIdle(request.caller.connection()));
+        places.requestOpened(request);
         context.startTimer(new TimerKey.RequestDeadline(request.id), answerDeadline - context.now);
         return request;
     }
@@ -507,9 +384,7 @@
     private void close(OpenRequest request) {
         request.closed = true;
         unanswered.remove(request.caller);
-        if (connections.requestClosed(request, context.now)) {
-            startIdleTimer(request.caller.connection());
-        }
+        places.requestClosed(request);
         context.stopTimer(new TimerKey.RequestDeadline(request.id));
         attempts.withdrawAll(request);
         removeIfEnded(request);
