--- a/frontend/src/main/java/quincespar/settings/Keyword.java
+++ b/frontend/src/main/java/quincespar/settings/Keyword.java
@@ -37,7 +37,7 @@
     CHANGE_LOG_LONG_POLL_WAIT("change-log", "wait", Type.TIME, "1s", 100, 5000,
             "How long the change log may hold a request while there are no changes (long polling)."),
     CHANGE_LOG_ANSWER_SLACK("change-log", "slack", Type.TIME, "1s", 100, 10_000,
-            "Additional time for the answer to arrive before the request counts as failed."),
+            "Additional time for the answer to arrive before another request follows."),
     CHANGE_LOG_RETRY_DELAY("change-log", "pause", Type.TIME, "50ms", 10, 10_000,
             "Retry delay after the first failure; it doubles with each further failure."),
     CHANGE_LOG_MAX_RETRY_DELAY("change-log", "longest-pause", Type.TIME, "1s", 10, 60_000,
