--- a/frontend/src/main/java/quincespar/routing/EngineRegistry.java
+++ b/frontend/src/main/java/quincespar/routing/EngineRegistry.java
@@ -174,7 +174,7 @@
             notices.add("engines " + candidates.stream().map(e -> e.listed.id()).toList() + " are listed at one address, "
                     + candidates.get(0).listed.address() + "; they get no work until the list has one of them only");
         }
-        candidates.forEach(e -> e.addressInDoubt = inDoubt);
+        atOneAddress.forEach(e -> e.addressInDoubt = inDoubt && !e.replaced);
     }
 
     /** Puts all sends on hold, or ends that; takes effect with the next {@link #relist}. */
--- a/frontend/src/test/java/quincespar/routing/AddressesTest.java
+++ b/frontend/src/test/java/quincespar/routing/AddressesTest.java
@@ -57,6 +57,15 @@
         assertThat(router.reducer.retainedCounts()).containsEntry("engines.in_doubt", 0);
     }
 
+    /** Guards against a counter that goes on to report a doubt which a later event has ended. */
+    @Test
+    void aNewEngineEndsTheDoubtBetweenOlderOnes() {
+        router.changes(up("old"), up("other"));
+        router.changes(up("new"));
+        assertThat(ready("old", "other", "new")).containsExactly("new");
+        assertThat(router.reducer.retainedCounts()).containsEntry("engines.in_doubt", 0);
+    }
+
     @Test
     void anEngineThatStartedLateIsNewerThanOneThatDidNot() {
         router.changes(up("old"), member("new", Phase.UP, 900));
