Keep the shares of the descriptors for clients in one class

The shares stood in Configuration and FrontEnd, two of them with their arithmetic repeated; DescriptorShares has them now. The numbers are as before. ChangeLogClientTest stops its event loop, and DescriptorLimitIT's description names its busy clients.

Tests: LayersTest, ChangeLogClientTest, ConfigurationCheckTest, ConnectionEndTest, DescriptorLimitIT and UpgradeSharingIT pass.

--- a/frontend/src/main/java/quincespar/program/Configuration.java
+++ b/frontend/src/main/java/quincespar/program/Configuration.java
@@ -26,15 +26,13 @@
 record Configuration(String name, InetSocketAddress listen, InetSocketAddress admin, String changeLog, long seed, int sockets,
         int memoryMb, RoutingSettings site, ChangeLogCodec.Changes known) {
 
-    /** Share of the descriptors for clients' connections with open requests; a third of them by the protocol. */
-    private static final double BUSY_CLIENT_SHARE = 0.45;
     private static final int DEFAULT_SOCKETS = 256;
     private static final int DEFAULT_MEMORY_MB = 128;
 
     /** The bounds for these limits and the operators' settings. */
     Bounds bounds(Settings s) {
         return new Bounds(Math.max(1, (int) (sockets * s.number(Keyword.CLIENTS_DESCRIPTOR_SHARE) / 100)),
-                (int) (sockets * BUSY_CLIENT_SHARE), Bounds.maxRequestsFor(memoryMb),
+                DescriptorShares.busyClients(sockets), Bounds.maxRequestsFor(memoryMb),
                 Bounds.maxRequestBytesFor(Runtime.getRuntime().maxMemory()),
                 s.number(Keyword.CLIENTS_FIRST_REQUEST_TIMEOUT), s.number(Keyword.CLIENTS_IDLE_TIMEOUT),
                 s.count(Keyword.LINKS_PER_ENGINE), s.count(Keyword.LINKS_REQUESTS_PER_LINK), s.number(Keyword.LINKS_PARTIAL_MESSAGE_TIMEOUT),
--- a/frontend/src/main/java/quincespar/program/FrontEnd.java
+++ b/frontend/src/main/java/quincespar/program/FrontEnd.java
@@ -72,14 +72,6 @@
     /** How long a start waits for the change log's first answer. */
     private static final double FIRST_LIST_TIMEOUT_MS = 1500;
     private static final long LIST_CHECK_INTERVAL_MS = 20;
-    /** Share, and least number, of the descriptors for connections beyond the limit on busy ones, whose requests are refused. */
-    private static final double SPARE_CONNECTION_SHARE = 0.03;
-    private static final int MIN_SPARE_CONNECTIONS = 4;
-    /**
-     * Shares of the descriptors during an upgrade, while an older process holds part of them until it ends: for connections with
-     * open requests what clients may hold by the protocol, and a lower share from which idle ones are closed for new ones.
-     */
-    private static final double UPGRADE_BUSY_SHARE = 1 / 3.0, UPGRADE_CALLER_SHARE = 0.3;
     private static final double OTHERS_CHECK_INTERVAL_MS = 500;
     /** Time limit for closing the fleet service and the recovery journal, after all clients have their answers. */
     private static final long CLOSE_TIMEOUT_MS = 100;
@@ -164,8 +156,9 @@
             status = null;
         }
         listener = new Listener(clientLoop, c.listen(), true);
-        thriftServer = new ThriftServer(clientLoop, listener, c.site(), connectionLimit(bounds.maxBusyCallers()),
-                bounds.firstRequestMs(), settings.count(Keyword.CLIENTS_MESSAGE_RATE),
+        thriftServer = new ThriftServer(clientLoop, listener, c.site(),
+                DescriptorShares.acceptedClients(c.sockets(), bounds.maxBusyCallers()), bounds.firstRequestMs(),
+                settings.count(Keyword.CLIENTS_MESSAGE_RATE),
                 settings.count(Keyword.CLIENTS_SHARED_MESSAGE_RATE), clock, counters, inputs::addFromClient, this::allCounters,
                 txn -> startedTransactions != null && startedTransactions.startedByOther(txn));
         fleetService = fleet == null ? null : new FleetService(fleet, c.name(), c.admin() == null ? "" : c.admin().getHostString()
@@ -298,8 +291,8 @@
     private void start() throws IOException, InterruptedException {
         boolean besideOlderProcess = processLocks.othersAlive();
         if (besideOlderProcess) {
-            int callerLimit = (int) (configuration.sockets() * UPGRADE_CALLER_SHARE);
-            limitConnections(Math.min(bounds.maxCallers(), callerLimit), (int) (configuration.sockets() * UPGRADE_BUSY_SHARE));
+            limitConnections(Math.min(bounds.maxCallers(), DescriptorShares.clientsInUpgrade(configuration.sockets())),
+                    DescriptorShares.busyClientsInUpgrade(configuration.sockets()));
             inputs.add(new Input.OtherProcesses(true, true));
         }
         watchOtherProcesses(besideOlderProcess, besideOlderProcess);
@@ -377,12 +370,7 @@
 
     private void limitConnections(int maxCallers, int maxBusyCallers) {
         inputs.add(new Input.CallerLimitChanged(maxCallers, maxBusyCallers));
-        thriftServer.setConnectionLimit(connectionLimit(maxBusyCallers));
-    }
-
-    /** How many connections of clients may be open where that many of them may have requests open. */
-    private int connectionLimit(int maxBusyCallers) {
-        return maxBusyCallers + Math.max(MIN_SPARE_CONNECTIONS, (int) (configuration.sockets() * SPARE_CONNECTION_SHARE));
+        thriftServer.setConnectionLimit(DescriptorShares.acceptedClients(configuration.sockets(), maxBusyCallers));
     }
 
     /** Publishes the reducer's state for other threads. */
--- a/frontend/src/test/java/quincespar/program/DescriptorLimitIT.java
+++ b/frontend/src/test/java/quincespar/program/DescriptorLimitIT.java
@@ -25,7 +25,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** The jar, started by the deploy file's command line, with few descriptors, used up by idle clients; the change log is down. */
+/** The jar, started by the deploy file's command line, with few descriptors, which idle or busy clients use up; the change log is down. */
 @Timeout(120)
 class DescriptorLimitIT {
     private static final int DESCRIPTORS = 128, IDLE_CONNECTIONS = 300, BUSY_CLIENTS = 100, LOOKUPS = 20;
--- a/frontend/src/test/java/quincespar/program/engines/ChangeLogClientTest.java
+++ b/frontend/src/test/java/quincespar/program/engines/ChangeLogClientTest.java
@@ -32,6 +32,7 @@
 
     @AfterEach
     void close() throws Exception {
+        loop.stop();
         changeLog.close();
     }
 
